Send a request to a backend server with three true outcomes

**Cause** The whole path needs a way to forward a request that never says "not run" of a request that may have run, never passes on a short or crossed answer, and never shows a backend server the caller's key.

Package exchange sends one try through a gate on its connection: NotRun can only be made by a gate that was shut before a byte passed, or from a refusal that echoes the request's name.

--- /dev/null
+++ b/exchange/answer.go
@@ -0,0 +1,192 @@
+package exchange
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"trefoilline.example/trefoilline/header"
+)
+
+// Answered is a backend server's answer that has begun. Read it to its end to
+// know that it is whole, and close it.
+type Answered struct {
+	Status int
+	// Header is what may go to the caller.
+	Header http.Header
+	// Length is the body's length in bytes, negative if only its end tells.
+	Length int64
+
+	try       *try
+	response  *http.Response
+	announced []string
+	stall     *time.Timer
+	received  int64
+	whole     bool
+	err       error
+}
+
+// answered tells what became of a try that got an answer.
+func (t *try) answered(response *http.Response) Outcome {
+	if cause := t.misdirected(response); cause != nil {
+		// The order of answers on the open connections can't be trusted.
+		t.client.Forget(t.server)
+		defer t.end()
+		return t.unknown(Crossed, cause)
+	}
+	if reason, isRefusal := refusal(response, t.request.Name); isRefusal {
+		defer t.end()
+		return t.request.settle(&refused{
+			reason: reason,
+		})
+	}
+	if isUnbounded(response) {
+		defer t.end()
+		return t.unknown(Unbounded, &UnboundedAnswerError{
+			Server: t.server,
+		})
+	}
+	if response.Header.Get(header.Request) != "" {
+		t.client.keep(t.server)
+	}
+	t.expose()
+	return t.newAnswered(response)
+}
+
+// misdirected returns an error if the answer names another request. On a kept
+// connection an answer without a name counts as another's, since connections
+// are kept only to servers that echo names.
+func (t *try) misdirected(response *http.Response) error {
+	echoed := response.Header.Get(header.Request)
+	if echoed == t.request.Name || echoed == "" && !t.kept {
+		return nil
+	}
+	return &CrossedAnswerError{
+		Server: t.server,
+		Sent:   t.request.Name,
+		Echoed: echoed,
+	}
+}
+
+// refusal returns why the backend server did not run the request. A refusal
+// counts only if it names the request.
+func refusal(response *http.Response, name string) (header.Reason, bool) {
+	reason := response.Header.Get(header.NotRun)
+	isRefusing := response.StatusCode == http.StatusServiceUnavailable ||
+		response.StatusCode == http.StatusTooManyRequests
+	isNamed := name != "" && response.Header.Get(header.Request) == name
+	return header.Reason(reason), reason != "" && isRefusing && isNamed
+}
+
+// isUnbounded tells whether the answer ends with its connection.
+func isUnbounded(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 ||
+		response.StatusCode == http.StatusSwitchingProtocols
+}
+
+func (t *try) newAnswered(response *http.Response) *Answered {
+	a := &Answered{
+		Status:   response.StatusCode,
+		Header:   withoutHopByHop(response.Header),
+		Length:   response.ContentLength,
+		try:      t,
+		response: response,
+	}
+	// Only this system tells a caller that a request was not run.
+	a.Header.Del(header.NotRun)
+	a.Header.Del(header.Outcome)
+	for name := range response.Trailer {
+		a.announced = append(a.announced, name)
+	}
+	if timeout := t.client.StallTimeout; timeout > 0 {
+		a.stall = time.AfterFunc(timeout, t.stalled)
+	}
+	return a
+}
+
+func (t *try) stalled() {
+	t.cancel(&SilentError{
+		Server:  t.server,
+		Timeout: t.client.StallTimeout,
+	})
+}
+
+// Read reads from the answer's body. It returns [io.EOF] only if the answer is
+// whole, and otherwise a [BrokenAnswerError].
+func (a *Answered) Read(p []byte) (int, error) {
+	if a.err != nil {
+		return 0, a.err
+	}
+	n, err := a.response.Body.Read(p)
+	a.received += int64(n)
+	if a.stall != nil {
+		a.stall.Reset(a.try.client.StallTimeout)
+	}
+	if err == nil {
+		return n, nil
+	}
+	a.err = a.ended(err)
+	return n, a.err
+}
+
+// ended returns io.EOF if the answer came whole.
+func (a *Answered) ended(err error) error {
+	if err == io.EOF {
+		err = a.checkTrailers()
+	}
+	if err == nil {
+		a.whole = true
+		return io.EOF
+	}
+	return &BrokenAnswerError{
+		Server:   a.try.server,
+		Received: a.received,
+		Cause:    err,
+	}
+}
+
+func (a *Answered) checkTrailers() error {
+	for _, name := range a.announced {
+		if len(a.response.Trailer[name]) == 0 {
+			return &MissingTrailerError{
+				Name: name,
+			}
+		}
+	}
+	return nil
+}
+
+// Trailer returns the trailers, once the answer is whole.
+func (a *Answered) Trailer() http.Header {
+	if !a.whole {
+		return nil
+	}
+	return withoutHopByHop(a.response.Trailer)
+}
+
+// Broken returns why the answer is not whole: a [BrokenAnswerError], or nil if
+// nothing is known to be wrong.
+func (a *Answered) Broken() error {
+	var broken *BrokenAnswerError
+	if errors.As(a.err, &broken) {
+		return broken
+	}
+	return nil
+}
+
+// Close ends the answer. The connection of one that was not read to its end is
+// closed, so that the rest of it never meets another request.
+func (a *Answered) Close() {
+	if a.stall != nil {
+		a.stall.Stop()
+	}
+	if !a.whole {
+		a.try.gate.abandon()
+	}
+	_ = a.response.Body.Close()
+	a.try.cancel(nil)
+	if a.try.source != nil {
+		a.try.source.end()
+	}
+}
--- /dev/null
+++ b/exchange/client.go
@@ -0,0 +1,152 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// The settings of a client that are not set.
+const (
+	DefaultConnectTimeout = 2 * time.Second
+	DefaultIdleTimeout    = 15 * time.Second
+	DefaultIdlePerServer  = 16
+)
+
+// Keep-alive probes find an idle connection that went silent after the idle
+// time and count intervals.
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+)
+
+// maxHeaderSize bounds the headers of an answer, in bytes.
+const maxHeaderSize = 1 << 20
+
+// Client sends requests to backend servers. The zero value is ready. It is safe
+// for concurrent use and must not be copied.
+type Client struct {
+	// ConnectTimeout bounds the opening of a connection;
+	// [DefaultConnectTimeout] if zero.
+	ConnectTimeout time.Duration
+	// IdleTimeout is how long a connection is kept idle; [DefaultIdleTimeout]
+	// if zero.
+	IdleTimeout time.Duration
+	// IdlePerServer is how many idle connections are kept for each backend
+	// server; [DefaultIdlePerServer] if zero.
+	IdlePerServer int
+	// AnswerTimeout bounds the wait for an answer to begin, besides the
+	// request's deadline; none if zero.
+	AnswerTimeout time.Duration
+	// StallTimeout bounds the wait for the next bytes of an answer; none if
+	// zero.
+	StallTimeout time.Duration
+	// Dial opens connections; a [net.Dialer] if nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Clock tells the time left until deadlines; [time.Now] if nil.
+	Clock func() time.Time
+	// Violated is told of each broken invariant. It may be nil.
+	Violated func(Violation)
+
+	mu sync.Mutex
+	// pools keeps connections to the backend servers that echo request names.
+	// Without the echo nothing tells an answer on a kept connection from that
+	// to another request.
+	pools map[netip.AddrPort]*http.Transport
+	fresh *http.Transport
+}
+
+// Violation is an invariant that did not hold: a request that may run only once
+// was handed over more than once.
+type Violation struct {
+	Request    string
+	HandedOver int
+}
+
+// Forget closes the idle connections to a backend server and drops what is kept
+// for it.
+func (c *Client) Forget(server netip.AddrPort) {
+	c.mu.Lock()
+	pool := c.pools[server]
+	delete(c.pools, server)
+	c.mu.Unlock()
+	if pool != nil {
+		pool.CloseIdleConnections()
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	pools := c.pools
+	c.pools = nil
+	c.mu.Unlock()
+	for _, pool := range pools {
+		pool.CloseIdleConnections()
+	}
+}
+
+func (c *Client) now() time.Time {
+	if c.Clock == nil {
+		return time.Now()
+	}
+	return c.Clock()
+}
+
+// transport returns the connections to use for the request: kept ones for an
+// idempotent request to a backend server that echoes names, always a new one
+// for others. It tells whether the connections are kept ones.
+func (c *Client) transport(server netip.AddrPort, idempotent bool) (*http.Transport, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if pool, found := c.pools[server]; found && idempotent {
+		return pool, true
+	}
+	if c.fresh == nil {
+		c.fresh = c.newTransport()
+		c.fresh.DisableKeepAlives = true
+	}
+	return c.fresh, false
+}
+
+// keep lets connections to the backend server be kept from now on.
+func (c *Client) keep(server netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, found := c.pools[server]; found {
+		return
+	}
+	if c.pools == nil {
+		c.pools = make(map[netip.AddrPort]*http.Transport)
+	}
+	c.pools[server] = c.newTransport()
+}
+
+func (c *Client) newTransport() *http.Transport {
+	dial := c.Dial
+	if dial == nil {
+		dial = newDialer(orDefault(c.ConnectTimeout, DefaultConnectTimeout)).DialContext
+	}
+	d := &dialer{
+		dial: dial,
+	}
+	return &http.Transport{
+		DialContext:            d.dialGated,
+		DisableCompression:     true,
+		IdleConnTimeout:        orDefault(c.IdleTimeout, DefaultIdleTimeout),
+		MaxIdleConnsPerHost:    orDefault(c.IdlePerServer, DefaultIdlePerServer),
+		MaxResponseHeaderBytes: maxHeaderSize,
+	}
+}
+
+func orDefault[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
--- /dev/null
+++ b/exchange/errors.go
@@ -0,0 +1,122 @@
+package exchange
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// ConnectError reports that no connection to a backend server came about.
+type ConnectError struct {
+	Server netip.AddrPort
+	Cause  error
+}
+
+func (e *ConnectError) Error() string {
+	return fmt.Sprintf("connect to backend server %s: %v", e.Server, e.Cause)
+}
+
+func (e *ConnectError) Unwrap() error { return e.Cause }
+
+// TransferError reports that a connection to a backend server broke, or was
+// given up, before an answer began.
+type TransferError struct {
+	Server netip.AddrPort
+	Cause  error
+}
+
+func (e *TransferError) Error() string {
+	return fmt.Sprintf("request to backend server %s: %v", e.Server, e.Cause)
+}
+
+func (e *TransferError) Unwrap() error { return e.Cause }
+
+// SilentError reports that a backend server did not begin an answer in time.
+type SilentError struct {
+	Server  netip.AddrPort
+	Timeout time.Duration
+}
+
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("backend server %s began no answer within %s", e.Server, e.Timeout)
+}
+
+// CrossedAnswerError reports an answer to another request.
+type CrossedAnswerError struct {
+	Server netip.AddrPort
+	Sent   string
+	Echoed string
+}
+
+func (e *CrossedAnswerError) Error() string {
+	return fmt.Sprintf("backend server %s answered request %q when asked %q", e.Server, e.Echoed, e.Sent)
+}
+
+// UnboundedAnswerError reports an answer that states neither its length nor its
+// chunks, so that a broken connection would look like its end.
+type UnboundedAnswerError struct {
+	Server netip.AddrPort
+}
+
+func (e *UnboundedAnswerError) Error() string {
+	return fmt.Sprintf("backend server %s began an answer without length or chunks", e.Server)
+}
+
+// BrokenAnswerError reports an answer that ended before it was whole.
+type BrokenAnswerError struct {
+	Server netip.AddrPort
+	// Received is the number of body bytes that came.
+	Received int64
+	Cause    error
+}
+
+func (e *BrokenAnswerError) Error() string {
+	return fmt.Sprintf("answer of backend server %s broke after %d bytes: %v", e.Server, e.Received, e.Cause)
+}
+
+func (e *BrokenAnswerError) Unwrap() error { return e.Cause }
+
+// MissingTrailerError reports a trailer that was announced and did not come.
+type MissingTrailerError struct {
+	Name string
+}
+
+func (e *MissingTrailerError) Error() string {
+	return fmt.Sprintf("announced trailer %q did not come", e.Name)
+}
+
+// CallerGoneError reports that an answer could not be written to the caller.
+type CallerGoneError struct {
+	Cause error
+}
+
+func (e *CallerGoneError) Error() string {
+	return fmt.Sprintf("write the answer to the caller: %v", e.Cause)
+}
+
+func (e *CallerGoneError) Unwrap() error { return e.Cause }
+
+// GateShutError reports bytes of a request that were held back because its try
+// was over or had another connection. The transport sees it, no caller does.
+type GateShutError struct{}
+
+func (*GateShutError) Error() string {
+	return "the try is over or has another connection"
+}
+
+// BodySpentError reports a streamed body that an earlier try has read from.
+type BodySpentError struct{}
+
+func (*BodySpentError) Error() string {
+	return "the streamed body was read by an earlier try"
+}
+
+// AlreadySentError reports a further try of a request that may run only once
+// and may have run.
+type AlreadySentError struct {
+	Request string
+}
+
+func (e *AlreadySentError) Error() string {
+	return fmt.Sprintf("request %q may have run and is not sent again", e.Request)
+}
--- /dev/null
+++ b/exchange/exchange_test.go
@@ -0,0 +1,104 @@
+package exchange_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/header"
+	"trefoilline.example/trefoilline/internal/standin/backend"
+)
+
+// start serves the handler on loopback until the test ends.
+func start(t testing.TB, handler http.Handler) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	address, err := netip.ParseAddrPort(server.Listener.Addr().String())
+	require.NoError(t, err)
+	return address
+}
+
+func newClient(t testing.TB) *exchange.Client {
+	t.Helper()
+	client := &exchange.Client{
+		Violated: func(v exchange.Violation) { t.Errorf("violation: %+v", v) },
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+func newRequest(name, method, target string, body []byte) *exchange.Request {
+	at, err := url.Parse(target)
+	if err != nil {
+		panic(err)
+	}
+	request := &exchange.Request{
+		Name:   name,
+		Method: method,
+		URL:    at,
+		Host:   "shop.example",
+		Header: http.Header{},
+	}
+	if body != nil {
+		request.Body = &exchange.Bytes{
+			Content: body,
+		}
+	}
+	return request
+}
+
+func TestAnswerIsCopiedWhole(t *testing.T) {
+	server := &backend.Server{
+		Name: "s1",
+	}
+	address := start(t, server)
+	client := newClient(t)
+	for _, idempotent := range []bool{false, true, true} {
+		request := newRequest("r1", http.MethodPost, "/orders?a=1", []byte("twine"))
+		request.Idempotent = idempotent
+		outcome := client.Send(t.Context(), address, request)
+		answered, isAnswered := outcome.(*exchange.Answered)
+		require.True(t, isAnswered, "%#v", outcome)
+		recorder := httptest.NewRecorder()
+		require.NoError(t, exchange.Copy(recorder, answered))
+		answered.Close()
+		var reply struct {
+			Request string `json:"request"`
+		}
+		require.NoError(t, json.Unmarshal(recorder.Body.Bytes(), &reply))
+		require.Equal(t, "r1", reply.Request)
+		require.Equal(t, "r1", recorder.Header().Get(header.Request))
+	}
+	require.Equal(t, 3, server.Record().Runs["r1"])
+}
+
+func TestUnreachedIsNotRun(t *testing.T) {
+	listener := httptest.NewServer(nil)
+	address := netip.MustParseAddrPort(listener.Listener.Addr().String())
+	listener.Close()
+	outcome := newClient(t).Send(t.Context(), address, newRequest("r1", http.MethodPost, "/orders", []byte("x")))
+	notRun, isNotRun := outcome.(exchange.NotRun)
+	require.True(t, isNotRun, "%#v", outcome)
+	require.Equal(t, exchange.Unreached, notRun.Reason())
+	var connect *exchange.ConnectError
+	require.ErrorAs(t, notRun.Cause(), &connect)
+}
+
+func TestDrainingIsNotRun(t *testing.T) {
+	server := &backend.Server{}
+	server.SetFaults(backend.Faults{
+		Draining: true,
+	})
+	outcome := newClient(t).Send(t.Context(), start(t, server), newRequest("r1", http.MethodPost, "/orders", nil))
+	notRun, isNotRun := outcome.(exchange.NotRun)
+	require.True(t, isNotRun, "%#v", outcome)
+	require.Equal(t, header.Draining, notRun.Reason())
+	require.Zero(t, server.Record().Total)
+}
--- /dev/null
+++ b/exchange/strip.go
@@ -0,0 +1,199 @@
+package exchange
+
+import (
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+
+	"trefoilline.example/trefoilline/header"
+)
+
+// ownPrefix starts the name of every header of the system's own. The client
+// sets anew those that a backend server gets.
+const ownPrefix = "trefoilline-"
+
+// bearerScheme is the authorization scheme that carries the caller's key.
+const bearerScheme = "bearer"
+
+// hopByHop lists the headers that concern one connection only. Expect is among
+// them because the caller's server has answered it.
+var hopByHop = []string{
+	"Connection",
+	"Expect",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// forwardHeader returns what of a caller's headers may go to a backend server.
+func forwardHeader(h http.Header, key string) http.Header {
+	forwarded := withoutHopByHop(h)
+	for name, values := range forwarded {
+		kept := forwardValues(name, values, key)
+		if len(kept) == 0 {
+			delete(forwarded, name)
+			continue
+		}
+		forwarded[name] = kept
+	}
+	if _, isSet := forwarded["User-Agent"]; !isSet {
+		// An empty value keeps the transport from sending its own.
+		forwarded["User-Agent"] = []string{""}
+	}
+	return forwarded
+}
+
+// forwardTrailer returns what of a caller's trailers may go to a backend
+// server.
+func forwardTrailer(trailer http.Header, key string) http.Header {
+	forwarded := withoutHopByHop(trailer)
+	for name, values := range forwarded {
+		if isOwn(name) || holdsKey(name, key) {
+			delete(forwarded, name)
+			continue
+		}
+		forwarded[name] = forwardValues(name, values, key)
+	}
+	return forwarded
+}
+
+// withoutHopByHop returns a copy without the headers of one connection and
+// those that the Connection header names.
+func withoutHopByHop(h http.Header) http.Header {
+	forwarded := h.Clone()
+	if forwarded == nil {
+		forwarded = make(http.Header)
+	}
+	for _, line := range h["Connection"] {
+		for name := range strings.SplitSeq(line, ",") {
+			forwarded.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
+
+// forwardValues returns the values of a header that can't carry the key.
+func forwardValues(name string, values []string, key string) []string {
+	if isOwn(name) || holdsKey(name, key) {
+		return nil
+	}
+	if normal(name) == "cookie" {
+		values = stripCookies(values, key)
+	}
+	var kept []string
+	for _, value := range values {
+		if holdsKey(value, key) || namesKey(value) || isBearer(name, value) {
+			continue
+		}
+		kept = append(kept, value)
+	}
+	return kept
+}
+
+// normal writes a name as all backend servers read it: many take an underscore
+// for a hyphen, and none tells cases apart.
+func normal(name string) string {
+	return strings.ReplaceAll(strings.ToLower(strings.TrimSpace(name)), "_", "-")
+}
+
+func isOwn(name string) bool {
+	return strings.HasPrefix(normal(name), ownPrefix)
+}
+
+func isBearer(name, value string) bool {
+	if normal(name) != "authorization" {
+		return false
+	}
+	scheme, _, _ := strings.Cut(strings.TrimSpace(value), " ")
+	scheme, _, _ = strings.Cut(scheme, "\t")
+	return strings.EqualFold(scheme, bearerScheme)
+}
+
+// namesKey tells whether a value, such as a referring address, has the key's
+// parameter in it.
+func namesKey(value string) bool {
+	return strings.Contains(normal(unescape(value)), header.KeyParameter)
+}
+
+// holdsKey tells whether the text has the key in it, escaped or not.
+func holdsKey(text, key string) bool {
+	if key == "" {
+		return false
+	}
+	key = strings.ToLower(key)
+	return strings.Contains(strings.ToLower(text), key) ||
+		strings.Contains(strings.ToLower(unescape(text)), key)
+}
+
+// unescape undoes what percent escapes it can, and leaves the others.
+func unescape(text string) string {
+	if !strings.Contains(text, "%") {
+		return text
+	}
+	if whole, err := url.PathUnescape(text); err == nil {
+		return whole
+	}
+	var parts strings.Builder
+	for i := 0; i < len(text); i++ {
+		if i+2 < len(text) && text[i] == '%' {
+			if one, err := url.PathUnescape(text[i : i+3]); err == nil {
+				parts.WriteString(one)
+				i += 2
+				continue
+			}
+		}
+		parts.WriteByte(text[i])
+	}
+	return parts.String()
+}
+
+// stripQuery removes the parameters that can carry the key and leaves all
+// others as they stand.
+func stripQuery(query, key string) string {
+	return stripPairs(query, key, "&", ";")
+}
+
+// stripCookies removes the cookies that can carry the key.
+func stripCookies(lines []string, key string) []string {
+	var kept []string
+	for _, line := range lines {
+		if line = strings.TrimSpace(stripPairs(line, key, ";", ",")); line != "" {
+			kept = append(kept, line)
+		}
+	}
+	return kept
+}
+
+// stripPairs removes pairs from a list, by the separators in turn.
+func stripPairs(list, key string, separators ...string) string {
+	if list == "" {
+		return list
+	}
+	if len(separators) == 0 {
+		if carriesKey(list, key) {
+			return ""
+		}
+		return list
+	}
+	pairs := strings.Split(list, separators[0])
+	pairs = slices.DeleteFunc(pairs, func(pair string) bool {
+		return pair != "" && carriesKey(pair, key) && stripPairs(pair, key, separators[1:]...) == ""
+	})
+	for i, pair := range pairs {
+		pairs[i] = stripPairs(pair, key, separators[1:]...)
+	}
+	return strings.Join(pairs, separators[0])
+}
+
+func carriesKey(pair, key string) bool {
+	return namesKey(pair) || holdsKey(pair, key)
+}
--- /dev/null
+++ b/exchange/upload.go
@@ -0,0 +1,60 @@
+package exchange
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// setBody gives the outgoing request its body and trailers.
+func (t *try) setBody(outgoing *http.Request) {
+	switch b := t.request.Body.(type) {
+	case *Stream:
+		outgoing.ContentLength = b.Length
+		t.attach(outgoing, b, b.Trailer)
+	case *Bytes:
+		outgoing.ContentLength = int64(len(b.Content))
+		t.attach(outgoing, bytes.NewReader(b.Content), b.Trailer)
+	default:
+		outgoing.Body = emptyBody(outgoing.Method)
+	}
+}
+
+// attach sets a reader that ends with the try. Trailers go out as they are at
+// the end of the body, without what can carry the key.
+func (t *try) attach(outgoing *http.Request, reader io.Reader, trailer http.Header) {
+	t.source = &source{
+		reader: reader,
+	}
+	outgoing.Body = t.source
+	names := forwardTrailer(trailer, t.request.Key)
+	if len(names) == 0 {
+		return
+	}
+	outgoing.ContentLength = -1
+	outgoing.Trailer = make(http.Header, len(names))
+	for name := range names {
+		outgoing.Trailer[name] = nil
+	}
+	t.source.finish = func() { fillTrailer(outgoing.Trailer, trailer, t.request.Key) }
+}
+
+// fillTrailer sets the announced trailers that may go to a backend server.
+func fillTrailer(announced, trailer http.Header, key string) {
+	for name, values := range forwardTrailer(trailer, key) {
+		if _, isAnnounced := announced[name]; isAnnounced {
+			announced[name] = values
+		}
+	}
+}
+
+// emptyBody returns the body of a request without one. A method that usually
+// has a body would send chunks for a body of unknown length, so it gets none;
+// the transport replays such a request only if nothing of it was written.
+func emptyBody(method string) io.ReadCloser {
+	switch method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return http.NoBody
+	}
+	return noReplay{}
+}
--- /dev/null
+++ b/internal/standin/backend/command.go
@@ -0,0 +1,97 @@
+package backend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// crashStatus is the exit status of a server that a poisoned request crashed.
+const crashStatus = 3
+
+// stopTimeout is how long a stopping server waits for running requests.
+const stopTimeout = 30 * time.Second
+
+// headerTimeout is how long a connection may take to send its headers.
+const headerTimeout = 10 * time.Second
+
+// ServeError reports that the server could not listen or serve.
+type ServeError struct {
+	Listen string
+	Cause  error
+}
+
+func (e *ServeError) Error() string {
+	return fmt.Sprintf("backend server on %s: %v", e.Listen, e.Cause)
+}
+
+func (e *ServeError) Unwrap() error { return e.Cause }
+
+// NewCommand returns the command that runs one backend server until SIGTERM or
+// an interrupt. It prints the address that it listens on.
+func NewCommand() *cobra.Command {
+	var listen string
+	server := &Server{
+		Crash: func() { os.Exit(crashStatus) },
+	}
+	command := &cobra.Command{
+		Use:     "backend",
+		Short:   "Run a stand-in backend server",
+		Example: "  standin backend --listen 127.0.0.1:9000 --name accra-a-storefront-1 --service-time 20ms",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serveUntilStopped(command, listen, server)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&listen, "listen", "127.0.0.1:0", "IP address and port to listen on")
+	flags.IntVar(&server.Slots, "slots", DefaultSlots, "requests that run at once")
+	flags.DurationVar(&server.ServiceTime, "service-time", 0, "time that a request runs")
+	flags.StringVar(&server.Name, "name", "", "name of the server, told in answers")
+	return command
+}
+
+func serveUntilStopped(command *cobra.Command, listen string, server *Server) error {
+	ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return &ServeError{
+			Listen: listen,
+			Cause:  err,
+		}
+	}
+	fmt.Fprintf(command.OutOrStdout(), "listening on %s\n", listener.Addr())
+	h := &http.Server{
+		Handler:           server,
+		ReadHeaderTimeout: headerTimeout,
+	}
+	done := make(chan error, 1)
+	go func() { done <- h.Serve(listener) }()
+	select {
+	case err = <-done:
+	case <-ctx.Done():
+		err = shutDown(h)
+	}
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return &ServeError{
+		Listen: listen,
+		Cause:  err,
+	}
+}
+
+func shutDown(h *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return h.Shutdown(ctx)
+}
