Admit a request at most once; bound retries; refuse requests that crash servers

**Cause** A caller sends a payment again after an unknown outcome, perhaps to another host; retries add to an overload; one request can take down a fleet.

Package retry: a budget of fewer than one retry for ten first tries, two backend servers at most that may have run an idempotent request. Package suspect: lost backend servers by fingerprint, with a message to share.

--- a/exchange/body.go
+++ b/exchange/body.go
@@ -19,6 +19,8 @@
 	// Trailer holds the trailers once Reader is at its end; its names are known
 	// before.
 	Trailer http.Header
+	// Head is how the content starts, if that is known before it is read.
+	Head []byte
 
 	mu   sync.Mutex
 	read bool
@@ -52,6 +54,7 @@
 		Reader:  io.MultiReader(bytes.NewReader(head), s.Reader),
 		Length:  s.Length,
 		Trailer: s.Trailer,
+		Head:    head,
 	}, nil
 }
 
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -111,12 +111,11 @@
 	return "the streamed body was read by an earlier try"
 }
 
-// AlreadySentError reports a further try of a request that may run only once
-// and may have run.
+// AlreadySentError reports that an earlier try of the request may have run.
 type AlreadySentError struct {
 	Request string
 }
 
 func (e *AlreadySentError) Error() string {
-	return fmt.Sprintf("request %q may have run and is not sent again", e.Request)
+	return fmt.Sprintf("an earlier try of request %q may have run", e.Request)
 }
--- a/exchange/outcome.go
+++ b/exchange/outcome.go
@@ -54,8 +54,7 @@
 	Crossed header.Reason = "crossed-answer"
 	// Unbounded: the answer's end could not be told from a broken connection.
 	Unbounded header.Reason = "unbounded-answer"
-	// AlreadySent: an earlier try of a request that may run only once may have
-	// run.
+	// AlreadySent: an earlier try of the request may have run.
 	AlreadySent header.Reason = "already-sent"
 )
 
--- /dev/null
+++ b/retry/retry.go
@@ -0,0 +1,147 @@
+/*
+Package retry sends a request to further backend servers when one did not run
+it, within limits that keep retries from adding to an overload.
+
+  - A request that may have run is sent again only if it is idempotent, and then
+    once: it meets at most two backend servers that may have run it.
+  - What a backend server has to work on again is paid from a [Budget]: fewer
+    than one such retry for ten first tries.
+  - A request that no backend server had to work on, because none was reached or
+    it is draining, is sent on without a budget, to a bounded number of servers.
+  - A request that several backend servers died of is refused; see package
+    suspect.
+
+# Usage
+
+	sender := &retry.Sender{
+		Send: client.Send,
+		Budget: budgets[route],
+	}
+	outcome := sender.Do(ctx, request, pick)
+*/
+package retry
+
+import (
+	"context"
+	"net/netip"
+
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/header"
+)
+
+// maxMayHaveRun is how many backend servers may have run an idempotent request.
+const maxMayHaveRun = 2
+
+// DefaultMaxTries is how many backend servers a request meets at most.
+const DefaultMaxTries = 4
+
+// The reasons for refusals of this package.
+const (
+	// NoServer: there is no backend server to send the request to.
+	NoServer header.Reason = "no-backend-server"
+	// Suspected: backend servers died of this request.
+	Suspected header.Reason = "request-crashes-servers"
+)
+
+// Send sends a request to a backend server, as [exchange.Client.Send] does.
+type Send func(ctx context.Context, server netip.AddrPort, request *exchange.Request) exchange.Outcome
+
+// Pick chooses a backend server other than those tried, or none.
+type Pick func(tried []netip.AddrPort) (netip.AddrPort, bool)
+
+// Suspects knows the requests that backend servers die of.
+type Suspects interface {
+	// Refuses tells whether the request must not be sent any more.
+	Refuses(request *exchange.Request) bool
+	// Lost notes that the backend server broke the connection of the request.
+	Lost(request *exchange.Request, server netip.AddrPort)
+}
+
+// Sender sends requests.
+type Sender struct {
+	Send Send
+	// Budget pays for retries. Nil pays for none.
+	Budget *Budget
+	// Suspects may be nil.
+	Suspects Suspects
+	// MaxTries bounds the tries of a request; [DefaultMaxTries] if zero.
+	MaxTries int
+}
+
+// Do sends the request to backend servers until one has answered it or the
+// limits are reached, and returns what became of it.
+func (s *Sender) Do(ctx context.Context, request *exchange.Request, pick Pick) exchange.Outcome {
+	s.Budget.First()
+	var tried []netip.AddrPort
+	var last exchange.Outcome
+	mayHaveRun := 0
+	for {
+		if s.refuses(request) {
+			return orElse(last, request, Suspected)
+		}
+		server, found := pick(tried)
+		if !found {
+			return orElse(last, request, NoServer)
+		}
+		last = s.Send(ctx, server, request)
+		tried = append(tried, server)
+		if s.noteLoss(request, server, last) {
+			mayHaveRun++
+		}
+		if !s.again(ctx, request, last, len(tried), mayHaveRun) {
+			return last
+		}
+	}
+}
+
+// orElse returns the outcome of the last try, or refuses a request that had
+// none.
+func orElse(last exchange.Outcome, request *exchange.Request, reason header.Reason) exchange.Outcome {
+	if last != nil {
+		return last
+	}
+	return request.Withhold(reason)
+}
+
+func (s *Sender) refuses(request *exchange.Request) bool {
+	return s.Suspects != nil && s.Suspects.Refuses(request)
+}
+
+// noteLoss reports whether the try may have run, and tells of a server that
+// broke the connection.
+func (s *Sender) noteLoss(request *exchange.Request, server netip.AddrPort, outcome exchange.Outcome) bool {
+	unknown, isUnknown := outcome.(*exchange.Unknown)
+	if !isUnknown {
+		return false
+	}
+	if unknown.Reason == exchange.Broken && s.Suspects != nil {
+		s.Suspects.Lost(request, server)
+	}
+	return true
+}
+
+// again decides whether the request is sent once more.
+func (s *Sender) again(ctx context.Context, request *exchange.Request, last exchange.Outcome, tries, mayHaveRun int) bool {
+	if ctx.Err() != nil || tries >= s.maxTries() || !request.Resendable() {
+		return false
+	}
+	switch o := last.(type) {
+	case exchange.NotRun:
+		return isFree(o) || s.Budget.Retry()
+	case *exchange.Unknown:
+		return request.Idempotent && mayHaveRun < maxMayHaveRun && s.Budget.Retry()
+	}
+	return false
+}
+
+// isFree tells whether the try cost no backend server any work.
+func isFree(outcome exchange.NotRun) bool {
+	return !outcome.ByServer() || outcome.Reason() == header.Draining
+}
+
+func (s *Sender) maxTries() int {
+	if s.MaxTries == 0 {
+		return DefaultMaxTries
+	}
+	return s.MaxTries
+}
--- /dev/null
+++ b/suspect/suspect.go
@@ -0,0 +1,98 @@
+/*
+Package suspect finds the requests that crash the backend servers which run
+them, and refuses those before they take down a fleet.
+
+A request is known by its fingerprint, so that it is recognized when its caller
+sends it again, to any host. Each broken connection counts as a lost backend
+server; after two, the request is refused for a while. Other requests of the
+same sender go on. Hosts share what they lost as [Loss] messages, by whatever
+way they talk, in any order and any number of times.
+
+# Usage
+
+	list := &suspect.List{
+		Share: broadcast, // called with each new loss
+	}
+	if list.Refuses(request) {
+		return request.Withhold(retry.Suspected)
+	}
+	list.Lost(request, server)
+
+	// On a message from another host:
+	list.Add(loss)
+*/
+package suspect
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"trefoilline.example/trefoilline/exchange"
+)
+
+// Loss says that a backend server broke the connection of a request. It is the
+// message that hosts share.
+type Loss struct {
+	Fingerprint Fingerprint    `json:"fingerprint"`
+	Server      netip.AddrPort `json:"server"`
+	// At is when it was lost, by the clock of the host that saw it.
+	At time.Time `json:"at"`
+}
+
+// fingerprintSize is in bytes.
+const fingerprintSize = 16
+
+// Fingerprint knows a request by its content.
+type Fingerprint [fingerprintSize]byte
+
+// FingerprintError reports a text that is no fingerprint.
+type FingerprintError struct {
+	Text string
+}
+
+func (e *FingerprintError) Error() string {
+	return fmt.Sprintf("%q is no fingerprint; accepted are %d hexadecimal digits", e.Text, 2*fingerprintSize)
+}
+
+// MarshalText writes the fingerprint in hexadecimal.
+func (f Fingerprint) MarshalText() ([]byte, error) {
+	return []byte(hex.EncodeToString(f[:])), nil
+}
+
+// UnmarshalText reads a fingerprint, or returns a [FingerprintError].
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	n, err := hex.Decode(f[:], text[:min(len(text), 2*fingerprintSize)])
+	if err != nil || n != fingerprintSize || len(text) != 2*fingerprintSize {
+		return &FingerprintError{
+			Text: string(text),
+		}
+	}
+	return nil
+}
+
+// Of returns the fingerprint of a request: its method, host, path, query,
+// content type and body, or of a long body the length and the start.
+func Of(request *exchange.Request) Fingerprint {
+	hash := sha256.New()
+	add := func(part []byte) {
+		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		_, _ = hash.Write(part)
+	}
+	add([]byte(request.Method))
+	add([]byte(request.Host))
+	add([]byte(request.URL.EscapedPath()))
+	add([]byte(request.URL.RawQuery))
+	add([]byte(request.Header.Get("Content-Type")))
+	switch b := request.Body.(type) {
+	case *exchange.Bytes:
+		add(b.Content)
+	case *exchange.Stream:
+		add(binary.BigEndian.AppendUint64(nil, uint64(b.Length)))
+		add(b.Head)
+	}
+	return Fingerprint(hash.Sum(nil)[:fingerprintSize])
+}
--- /dev/null
+++ b/ticket/code.go
@@ -0,0 +1,29 @@
+package ticket
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// issued tells whether this incarnation issued the name to the holder.
+func (r *Register) issued(name Name, holder string) bool {
+	if name.number >= name.block.count {
+		return false
+	}
+	expected := r.code(name.block, holder)
+	return hmac.Equal(expected[:], name.block.code[:])
+}
+
+// code returns the proof that the block was issued to the holder.
+func (r *Register) code(b block, holder string) code {
+	mac := hmac.New(sha256.New, r.Secret[:])
+	var fields []byte
+	fields = binary.BigEndian.AppendUint64(fields, uint64(b.incarnation))
+	fields = binary.BigEndian.AppendUint64(fields, b.serial)
+	fields = binary.BigEndian.AppendUint32(fields, b.expiry)
+	fields = binary.BigEndian.AppendUint32(fields, b.count)
+	_, _ = mac.Write(fields)
+	_, _ = mac.Write([]byte(holder))
+	return code(mac.Sum(nil)[:codeSize])
+}
--- /dev/null
+++ b/ticket/register.go
@@ -0,0 +1,275 @@
+package ticket
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// The settings of a register that are not set.
+const (
+	// DefaultValidity is how long an issued name can be admitted.
+	DefaultValidity = 5 * time.Minute
+	// DefaultLimit is how many names are remembered at once.
+	DefaultLimit = 500_000
+)
+
+// windowLength is how long the names of a window expire after each other. A
+// window is forgotten as a whole.
+const windowLength = 30 * time.Second
+
+// secretSize is the length of the secret that codes are made with, in bytes.
+const secretSize = 32
+
+// Register issues the names of one incarnation of a host and admits requests
+// under them. The zero value is ready but for Host. It is safe for concurrent
+// use and must not be copied.
+type Register struct {
+	// Host is the address that other hosts pass requests to.
+	Host netip.AddrPort
+	// Incarnation is random if zero.
+	Incarnation Incarnation
+	// Secret makes codes; random if zero. It never leaves the process.
+	Secret [secretSize]byte
+	// Validity is how long names can be admitted; [DefaultValidity] if zero.
+	// It is rounded up to whole seconds.
+	Validity time.Duration
+	// Limit is how many names are remembered; [DefaultLimit] if zero. At the
+	// limit requests are refused; no name is forgotten before it expires.
+	Limit int
+	// Clock tells the time; [time.Now] if nil.
+	Clock func() time.Time
+	// Violated is told of each broken invariant. It may be nil.
+	Violated func(Violation)
+
+	once    sync.Once
+	start   time.Time
+	mu      sync.Mutex
+	serial  uint64
+	windows map[uint32]map[used]entry
+	length  int
+	// current is the window that was running when windows were last forgotten.
+	current uint32
+}
+
+// Violation is an invariant that did not hold: a request was reported not run,
+// which lets its name be admitted again, and reported run as well.
+type Violation struct {
+	Name string
+	// Recorded is what was reported first, Reported what came on top of it.
+	Recorded Result
+	Reported Result
+}
+
+// used tells an admitted name among those of the incarnation.
+type used struct {
+	serial uint64
+	number uint32
+}
+
+// entry is what is remembered of an admitted name.
+type entry struct {
+	result Result
+	// turn counts the admissions, so that a late result of an earlier one is
+	// told from that of the current one.
+	turn uint16
+}
+
+// Admitted lets a request run. Settle tells what came of it.
+type Admitted struct {
+	register *Register
+	name     Name
+	turn     uint16
+	// settled tells that result holds the first report.
+	settled bool
+	result  Result
+}
+
+// Issue returns a new exclusive range of names. Only requests of the holder,
+// such as a team, are admitted under them; an empty holder is anyone.
+func (r *Register) Issue(holder string, count int) Range {
+	r.init()
+	expiry := r.elapsed() + r.validity()
+	r.mu.Lock()
+	r.serial++
+	serial := r.serial
+	r.mu.Unlock()
+	b := block{
+		host:        r.Host,
+		incarnation: r.Incarnation,
+		serial:      serial,
+		expiry:      uint32(expiry / time.Second),
+		count:       uint32(count),
+	}
+	b.code = r.code(b, holder)
+	return Range{
+		Prefix:   b.prefix(),
+		Count:    count,
+		ValidFor: r.validity(),
+	}
+}
+
+// Admit decides on a request that came from the holder under the name.
+func (r *Register) Admit(name Name, holder string) Decision {
+	r.init()
+	if name.block.host != r.Host {
+		return Elsewhere{
+			Host:        name.block.host,
+			Incarnation: name.block.incarnation,
+		}
+	}
+	if name.block.incarnation != r.Incarnation {
+		return Gone{}
+	}
+	if !r.issued(name, holder) {
+		return Refused{
+			Reason: NotIssued,
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// The time is read under the lock: a process that was frozen in between
+	// must not admit a name whose window is forgotten.
+	now := r.elapsed()
+	r.forget(now)
+	if now >= time.Duration(name.block.expiry)*time.Second {
+		return Expired{}
+	}
+	return r.enter(name)
+}
+
+// Settle tells what came of the request. Without it the name counts as running
+// until it expires. Only the first call counts.
+func (a *Admitted) Settle(result Result) {
+	if result == Running {
+		result = Unknown
+	}
+	r := a.register
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if a.settled {
+		a.check(result)
+		return
+	}
+	a.settled, a.result = true, result
+	key, window := a.name.used(), r.windows[windowOf(a.name)]
+	e, found := window[key]
+	if !found || e.turn != a.turn {
+		return
+	}
+	e.result = result
+	window[key] = e
+}
+
+// check tells of a second report that takes back the first, if one of them says
+// that the request did not run.
+func (a *Admitted) check(reported Result) {
+	if a.register.Violated == nil || (a.result == NotRun) == (reported == NotRun) {
+		return
+	}
+	a.register.Violated(Violation{
+		Name:     a.name.ID(),
+		Recorded: a.result,
+		Reported: reported,
+	})
+}
+
+// enter admits the name if it was not, or did not run.
+func (r *Register) enter(name Name) Decision {
+	key, number := name.used(), windowOf(name)
+	e, found := r.windows[number][key]
+	if found && e.result != NotRun {
+		return Repeated{
+			Result: e.result,
+		}
+	}
+	if !found && r.length >= r.limit() {
+		return Refused{
+			Reason: RegisterFull,
+		}
+	}
+	if !found {
+		r.length++
+	}
+	if r.windows[number] == nil {
+		r.windows[number] = make(map[used]entry)
+	}
+	e = entry{
+		result: Running,
+		turn:   e.turn + 1,
+	}
+	r.windows[number][key] = e
+	return &Admitted{
+		register: r,
+		name:     name,
+		turn:     e.turn,
+	}
+}
+
+// forget drops the windows in which every name has expired.
+func (r *Register) forget(now time.Duration) {
+	current := uint32(now / windowLength)
+	if current == r.current {
+		return
+	}
+	r.current = current
+	for number, names := range r.windows {
+		if number < current {
+			r.length -= len(names)
+			delete(r.windows, number)
+		}
+	}
+}
+
+func (r *Register) init() {
+	r.once.Do(func() {
+		r.start = r.now()
+		r.windows = make(map[uint32]map[used]entry)
+		if r.Secret == [secretSize]byte{} {
+			_, _ = rand.Read(r.Secret[:])
+		}
+		for r.Incarnation == 0 {
+			var random [8]byte
+			_, _ = rand.Read(random[:])
+			r.Incarnation = Incarnation(binary.BigEndian.Uint64(random[:]))
+		}
+	})
+}
+
+func (r *Register) now() time.Time {
+	if r.Clock == nil {
+		return time.Now()
+	}
+	return r.Clock()
+}
+
+// elapsed is the time since the incarnation's start.
+func (r *Register) elapsed() time.Duration { return r.now().Sub(r.start) }
+
+func (r *Register) validity() time.Duration {
+	if r.Validity == 0 {
+		return DefaultValidity
+	}
+	return (r.Validity + time.Second - 1).Truncate(time.Second)
+}
+
+func (r *Register) limit() int {
+	if r.Limit == 0 {
+		return DefaultLimit
+	}
+	return r.Limit
+}
+
+// windowOf is the window in which the name expires.
+func windowOf(n Name) uint32 {
+	return n.block.expiry / uint32(windowLength/time.Second)
+}
+
+func (n Name) used() used {
+	return used{
+		serial: n.block.serial,
+		number: n.number,
+	}
+}
--- /dev/null
+++ b/ticket/status.go
@@ -0,0 +1,22 @@
+package ticket
+
+// Len returns how many names are remembered.
+func (r *Register) Len() int {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.length
+}
+
+// Result returns what came of a request under the name, and false if the name
+// was not admitted here or is forgotten.
+func (r *Register) Result(name Name) (Result, bool) {
+	r.init()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name.block.host != r.Host || name.block.incarnation != r.Incarnation {
+		return Unknown, false
+	}
+	e, found := r.windows[windowOf(name)][name.used()]
+	return e.result, found
+}
