--- /dev/null
+++ b/admission/desk.go
@@ -0,0 +1,131 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/header"
+	"trefoilline.example/trefoilline/ticket"
+)
+
+// settleTimeout bounds the write of a claim's result.
+const settleTimeout = 5 * time.Second
+
+// Desk admits requests on one host. It must not be copied.
+type Desk struct {
+	Register *ticket.Register
+	// Claims admits by keys that callers chose. If it is nil, such keys mean
+	// nothing and only go on to the backend servers.
+	Claims *ticket.Claims
+	// Send passes a request to the host that issued its ticket.
+	Send Send
+
+	settling sync.WaitGroup
+}
+
+// Serve runs the request if it may run, passes it to the host that may run it,
+// or says what came of it before. The holder is the team whose key came with
+// the request, empty on routes open to all. A named request gets its name from
+// its ticket.
+func (d *Desk) Serve(ctx context.Context, request *exchange.Request, holder string, run Run) exchange.Outcome {
+	if text := request.Header.Get(header.Ticket); text != "" {
+		return d.serveTicket(ctx, request, text, holder, run)
+	}
+	if key := idempotencyKey(request); key != "" && d.Claims != nil {
+		return d.serveKey(ctx, request, key, holder, run)
+	}
+	return run(ctx)
+}
+
+// Wait returns when all results are written, or have failed to be.
+func (d *Desk) Wait() { d.settling.Wait() }
+
+func (d *Desk) serveTicket(ctx context.Context, request *exchange.Request, text, holder string, run Run) exchange.Outcome {
+	name, err := ticket.Parse(text)
+	if err != nil {
+		return request.Withhold(MalformedTicket)
+	}
+	request.Name = name.ID()
+	switch decision := d.Register.Admit(name, holder).(type) {
+	case *ticket.Admitted:
+		outcome := run(ctx)
+		decision.Settle(resultOf(outcome))
+		return outcome
+	case ticket.Repeated:
+		return repeated(request, decision.Result)
+	case ticket.Elsewhere:
+		return d.pass(ctx, request, decision)
+	case ticket.Refused:
+		return request.Withhold(header.Reason(decision.Reason))
+	case ticket.Expired:
+		return held(request, TicketExpired, nil)
+	}
+	return held(request, IssuerGone, nil)
+}
+
+// pass sends the request to the host that issued its ticket. A host that can't
+// be reached may have admitted the name before.
+func (d *Desk) pass(ctx context.Context, request *exchange.Request, issuer ticket.Elsewhere) exchange.Outcome {
+	if request.Header.Get(header.PassedBy) != "" || d.Send == nil {
+		return held(request, IssuerGone, nil)
+	}
+	h := request.Header.Clone()
+	h.Set(header.PassedBy, d.Register.Host.String())
+	outcome := d.Send(ctx, issuer.Host, &exchange.Request{
+		Name:   request.Name,
+		Method: request.Method,
+		URL:    request.URL,
+		Host:   request.Host,
+		Header: h,
+		Body:   request.Body,
+		ToHost: true,
+	})
+	notRun, isNotRun := outcome.(exchange.NotRun)
+	if isNotRun && !notRun.ByServer() {
+		return held(request, IssuerUnreached, notRun.Cause())
+	}
+	return outcome
+}
+
+func (d *Desk) serveKey(ctx context.Context, request *exchange.Request, key, holder string, run Run) exchange.Outcome {
+	decision, err := d.Claims.Admit(ctx, holder, key)
+	var wrong *ticket.KeyError
+	if errors.As(err, &wrong) {
+		return request.Withhold(MalformedKey)
+	}
+	if err != nil {
+		return held(request, StoreUnreached, err)
+	}
+	claimed, isClaimed := decision.(*ticket.Claimed)
+	if !isClaimed {
+		return d.repeatedKey(request, decision)
+	}
+	outcome := run(ctx)
+	d.settle(ctx, claimed, outcome)
+	return outcome
+}
+
+func (*Desk) repeatedKey(request *exchange.Request, decision ticket.Decision) exchange.Outcome {
+	before, _ := decision.(ticket.Repeated)
+	return repeated(request, before.Result)
+}
+
+// settle writes the result. The key is free again before the caller learns that
+// its request was not run; an answer does not wait.
+func (d *Desk) settle(ctx context.Context, claimed *ticket.Claimed, outcome exchange.Outcome) {
+	result := resultOf(outcome)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	write := func() {
+		defer cancel()
+		// Without the result, repeats are told that the request is running.
+		_ = claimed.Settle(ctx, result)
+	}
+	if result == ticket.NotRun {
+		write()
+		return
+	}
+	d.settling.Go(write)
+}
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -30,7 +30,8 @@
 // answered tells what became of a try that got an answer.
 func (t *try) answered(response *http.Response) Outcome {
 	if cause := t.misdirected(response); cause != nil {
-		// The order of answers on the open connections can't be trusted.
+		// The order of answers on the open connections can't be trusted, nor
+		// that the backend server still echoes names.
 		t.client.Forget(t.server)
 		defer t.end()
 		return t.unknown(Crossed, cause)
@@ -41,6 +42,12 @@
 			reason: reason,
 		})
 	}
+	if reason := response.Header.Get(header.Outcome); t.request.ToHost && reason != "" {
+		defer t.end()
+		return t.unknown(header.Reason(reason), &HostError{
+			Host: t.server,
+		})
+	}
 	if isUnbounded(response) {
 		defer t.end()
 		return t.unknown(Unbounded, &UnboundedAnswerError{
@@ -54,12 +61,12 @@
 	return t.newAnswered(response)
 }
 
-// misdirected returns an error if the answer names another request. On a kept
-// connection an answer without a name counts as another's, since connections
-// are kept only to servers that echo names.
+// misdirected returns an error if the answer names another request. An answer
+// without a name counts as another's if the backend server is known to echo
+// names, or is an entry host.
 func (t *try) misdirected(response *http.Response) error {
 	echoed := response.Header.Get(header.Request)
-	if echoed == t.request.Name || echoed == "" && !t.kept {
+	if echoed == t.request.Name || echoed == "" && !t.echoes && !t.request.ToHost {
 		return nil
 	}
 	return &CrossedAnswerError{
--- a/exchange/answer_test.go
+++ b/exchange/answer_test.go
@@ -206,3 +206,24 @@
 		answered.Close()
 	}
 }
+
+// TestEchoingServerMustGoOnEchoing has a server that named its answers give one
+// without a name: it may be another request's.
+func TestEchoingServerMustGoOnEchoing(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		names := true
+		server := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if names {
+				w.Header().Set(header.Request, r.Header.Get(header.Request))
+			}
+		}))
+		client := newClient(t)
+		require.True(t, get(t.Context(), client, server, idempotent))
+		names = false
+		request := newRequest("r2", http.MethodGet, "/", nil)
+		request.Idempotent = idempotent
+		outcome := client.Send(t.Context(), server, request)
+		require.IsType(t, &exchange.Unknown{}, outcome)
+		require.Equal(t, exchange.Crossed, outcome.(*exchange.Unknown).Reason)
+	}
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -53,9 +53,9 @@
 	Violated func(Violation)
 
 	mu sync.Mutex
-	// pools keeps connections to the backend servers that echo request names.
-	// Without the echo nothing tells an answer on a kept connection from that
-	// to another request.
+	// pools keeps connections to the backend servers known to echo request
+	// names. Without the echo nothing tells an answer on a kept connection from
+	// that to another request.
 	pools map[netip.AddrPort]*http.Transport
 	fresh *http.Transport
 }
@@ -79,6 +79,20 @@
 	}
 }
 
+// drop closes the idle connections to a backend server. Those in use close when
+// they become idle.
+func (c *Client) drop(server netip.AddrPort) {
+	c.mu.Lock()
+	pool, found := c.pools[server]
+	if found {
+		c.pools[server] = c.newTransport()
+	}
+	c.mu.Unlock()
+	if found {
+		pool.CloseIdleConnections()
+	}
+}
+
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -99,18 +113,19 @@
 
 // transport returns the connections to use for the request: kept ones for an
 // idempotent request to a backend server that echoes names, always a new one
-// for others. It tells whether the connections are kept ones.
+// for others. It tells whether the backend server is known to echo names.
 func (c *Client) transport(server netip.AddrPort, idempotent bool) (*http.Transport, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if pool, found := c.pools[server]; found && idempotent {
+	pool, echoes := c.pools[server]
+	if echoes && idempotent {
 		return pool, true
 	}
 	if c.fresh == nil {
 		c.fresh = c.newTransport()
 		c.fresh.DisableKeepAlives = true
 	}
-	return c.fresh, false
+	return c.fresh, echoes
 }
 
 // keep lets connections to the backend server be kept from now on.
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -119,3 +119,13 @@
 func (e *AlreadySentError) Error() string {
 	return fmt.Sprintf("an earlier try of request %q may have run", e.Request)
 }
+
+// HostError reports that the entry host that a request was passed to does not
+// know what came of it.
+type HostError struct {
+	Host netip.AddrPort
+}
+
+func (e *HostError) Error() string {
+	return fmt.Sprintf("entry host %s does not know what came of the request", e.Host)
+}
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -25,6 +25,9 @@
 	Key string
 	// Idempotent requests may run more than once. The zero value may not.
 	Idempotent bool
+	// ToHost marks a request that goes to another entry host: keys and tickets
+	// go along, and the host says what came of the request.
+	ToHost bool
 
 	mu sync.Mutex
 	// exposed is set when a try may have run.
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -45,8 +45,8 @@
 	server    netip.AddrPort
 	request   *Request
 	transport *http.Transport
-	// kept tells that the connection may have carried other requests.
-	kept     bool
+	// echoes tells that the backend server is known to echo names.
+	echoes   bool
 	gate     *gate
 	source   *source
 	outgoing *http.Request
@@ -64,7 +64,7 @@
 		gate:    &gate{},
 		caller:  ctx,
 	}
-	t.transport, t.kept = c.transport(server, request.Idempotent)
+	t.transport, t.echoes = c.transport(server, request.Idempotent)
 	inner, cancel := context.WithCancelCause(ctx)
 	t.cancel = cancel
 	trace := &httptrace.ClientTrace{
@@ -102,6 +102,7 @@
 // build makes the request that goes to the backend server.
 func (t *try) build(ctx context.Context) *http.Request {
 	r := t.request
+	forwarded, query := forwardable(r)
 	outgoing := &http.Request{
 		Method: r.Method,
 		URL: &url.URL{
@@ -109,10 +110,10 @@
 			Host:     t.server.String(),
 			Path:     r.URL.Path,
 			RawPath:  r.URL.RawPath,
-			RawQuery: ForwardQuery(r.URL.RawQuery, r.Key),
+			RawQuery: query,
 		},
 		Host:       r.Host,
-		Header:     ForwardHeader(r.Header, r.Key),
+		Header:     forwarded,
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
@@ -126,13 +127,21 @@
 	return outgoing.WithContext(ctx)
 }
 
+// forwardable returns the headers and the query that go along.
+func forwardable(r *Request) (http.Header, string) {
+	if r.ToHost {
+		return withoutHopByHop(r.Header), r.URL.RawQuery
+	}
+	return ForwardHeader(r.Header, r.Key), ForwardQuery(r.URL.RawQuery, r.Key)
+}
+
 // failed tells what became of a try without an answer.
 func (t *try) failed(err error) Outcome {
 	defer t.end()
 	reason, cause := t.explain(err)
 	if reason == DeadlineExceeded || reason == Silent {
 		// What swallowed this request may have swallowed every open connection.
-		t.client.Forget(t.server)
+		t.client.drop(t.server)
 	}
 	if proof, isProven := t.gate.close(t.beforeSending(reason), cause); isProven {
 		return t.request.settle(proof)
--- a/exchange/upload.go
+++ b/exchange/upload.go
@@ -27,7 +27,7 @@
 		reader: reader,
 	}
 	outgoing.Body = t.source
-	names := forwardTrailer(trailer, t.request.Key)
+	names := t.forwardTrailer(trailer)
 	if len(names) == 0 {
 		return
 	}
@@ -36,18 +36,25 @@
 	for name := range names {
 		outgoing.Trailer[name] = nil
 	}
-	t.source.finish = func() { fillTrailer(outgoing.Trailer, trailer, t.request.Key) }
+	t.source.finish = func() { t.fillTrailer(outgoing.Trailer, trailer) }
 }
 
-// fillTrailer sets the announced trailers that may go to a backend server.
-func fillTrailer(announced, trailer http.Header, key string) {
-	for name, values := range forwardTrailer(trailer, key) {
+// fillTrailer sets the announced trailers that may go along.
+func (t *try) fillTrailer(announced, trailer http.Header) {
+	for name, values := range t.forwardTrailer(trailer) {
 		if _, isAnnounced := announced[name]; isAnnounced {
 			announced[name] = values
 		}
 	}
 }
 
+func (t *try) forwardTrailer(trailer http.Header) http.Header {
+	if t.request.ToHost {
+		return withoutHopByHop(trailer)
+	}
+	return forwardTrailer(trailer, t.request.Key)
+}
+
 // emptyBody returns the body of a request without one. A method that usually
 // has a body would send chunks for a body of unknown length, so it gets none;
 // the transport replays such a request only if nothing of it was written.
--- a/header/header.go
+++ b/header/header.go
@@ -27,6 +27,9 @@
 	// Outcome is set by an entry host when the request may have run, and holds
 	// a [Reason].
 	Outcome = "Trefoilline-Outcome-Unknown"
+	// PassedBy names the entry host that passed the request on, so that it is
+	// passed on only once.
+	PassedBy = "Trefoilline-Passed-By"
 	// IdempotencyKey carries a caller's own name for a request.
 	IdempotencyKey = "Idempotency-Key"
 	// XIdempotencyKey is the older spelling of [IdempotencyKey].
--- a/internal/standin/backend/faults.go
+++ b/internal/standin/backend/faults.go
@@ -64,7 +64,7 @@
 	LyingHealth bool `json:"lying-health,omitempty"`
 	// Late holds each answer back for so long after the request has run.
 	Late Duration `json:"late,omitempty"`
-	// Crossed answers with the answer to the request before.
+	// Crossed answers with the answer to the request before, if there was one.
 	Crossed bool `json:"crossed,omitempty"`
 	// Crashed drops every connection, health checks too.
 	Crashed bool `json:"crashed,omitempty"`
--- a/internal/standin/backend/serve.go
+++ b/internal/standin/backend/serve.go
@@ -183,7 +183,7 @@
 	}
 	s.mu.Lock()
 	sent := own
-	if s.faults.Crossed {
+	if s.faults.Crossed && s.previous.name != "" {
 		sent = s.previous
 	}
 	s.previous = own
--- a/ticket/code.go
+++ b/ticket/code.go
@@ -6,13 +6,18 @@
 	"encoding/binary"
 )
 
-// issued tells whether this incarnation issued the name to the holder.
+// issued tells whether this incarnation issued the name to the holder or to
+// anyone.
 func (r *Register) issued(name Name, holder string) bool {
 	if name.number >= name.block.count {
 		return false
 	}
-	expected := r.code(name.block, holder)
-	return hmac.Equal(expected[:], name.block.code[:])
+	return r.isCode(name.block, holder) || holder != "" && r.isCode(name.block, "")
+}
+
+func (r *Register) isCode(b block, holder string) bool {
+	expected := r.code(b, holder)
+	return hmac.Equal(expected[:], b.code[:])
 }
 
 // code returns the proof that the block was issued to the holder.
--- a/ticket/register_test.go
+++ b/ticket/register_test.go
@@ -157,6 +157,9 @@
 					r.Skip("no names")
 				}
 				name := rapid.SampledFrom(f.names).Draw(r, "name")
+				if name.holder == "" {
+					r.Skip("anyone's")
+				}
 				_, isAdmitted := f.send(r, host.Draw(r, "host"), name.text, "thief").(*ticket.Admitted)
 				require.False(r, isAdmitted)
 			},
