--- /dev/null
+++ b/internal/standin/store/reads.go
@@ -0,0 +1,115 @@
+package store
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// Calls returns the calls received so far, refused ones included.
+func (m *Memory) Calls() platform.Calls { return m.calls.Calls() }
+
+// Get implements [platform.Store].
+func (m *Memory) Get(ctx context.Context, key string) (platform.Object, error) {
+	m.calls.Add(platform.GetCall)
+	if err := m.enter(ctx, key); err != nil {
+		return platform.Object{}, err
+	}
+	m.mu.Lock()
+	object, ok := m.visible(m.faults.StaleReads)[key]
+	m.mu.Unlock()
+	if !ok || object.Deleted {
+		return platform.Object{}, &platform.NotFoundError{
+			Key: key,
+		}
+	}
+	return object, nil
+}
+
+// List implements [platform.Store].
+func (m *Memory) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	m.calls.Add(platform.ListCall)
+	if err := m.enter(ctx, prefix); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []platform.Object
+	for key, object := range m.visible(m.faults.StaleReads) {
+		if strings.HasPrefix(key, prefix) && !object.Deleted {
+			list = append(list, object)
+		}
+	}
+	slices.SortFunc(list, func(a, b platform.Object) int { return cmp.Compare(a.Key, b.Key) })
+	return list, nil
+}
+
+// Watch implements [platform.Store]. A store that goes down ends its watches.
+func (m *Memory) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (platform.Changes, error) {
+	m.calls.Add(platform.WatchCall)
+	if err := m.enter(ctx, prefix); err != nil {
+		return platform.Changes{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		found, changed := m.changesAfter(prefix, after)
+		if err := m.checkUp(prefix); err != nil {
+			return platform.Changes{}, err
+		}
+		if len(found.Objects) > 0 {
+			return found, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return found, nil
+		case <-ctx.Done():
+			return platform.Changes{}, unreached(prefix, ctx.Err())
+		}
+	}
+}
+
+// enter is what every read meets first: a store that is down or slow.
+func (m *Memory) enter(ctx context.Context, key string) error {
+	if err := m.checkUp(key); err != nil {
+		return err
+	}
+	if err := sleep(ctx, m.Faults().Delay); err != nil {
+		return unreached(key, err)
+	}
+	return nil
+}
+
+// changesAfter returns what a watch sees now and a channel that closes at the
+// next change.
+func (m *Memory) changesAfter(prefix string, after platform.Version) (platform.Changes, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	found := platform.Changes{
+		Next: m.version,
+	}
+	if m.faults.StaleWatch {
+		found.Next = m.pastVersion
+	}
+	for key, object := range m.visible(m.faults.StaleWatch) {
+		if object.Version > after && strings.HasPrefix(key, prefix) {
+			found.Objects = append(found.Objects, object)
+		}
+	}
+	slices.SortFunc(found.Objects, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	return found, m.changes()
+}
+
+// visible is the present or, for stale calls, the past. The caller holds the
+// lock.
+func (m *Memory) visible(stale bool) map[string]platform.Object {
+	if stale {
+		return m.past
+	}
+	return m.objects
+}
--- /dev/null
+++ b/internal/standin/store/writes.go
@@ -0,0 +1,112 @@
+package store
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// Put implements [platform.Store].
+func (m *Memory) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+	m.calls.Add(platform.PutCall)
+	return m.write(ctx, platform.Object{
+		Key:   key,
+		Value: slices.Clone(value),
+	}, condition)
+}
+
+// Delete implements [platform.Store].
+func (m *Memory) Delete(ctx context.Context, key string, condition platform.Condition) error {
+	m.calls.Add(platform.DeleteCall)
+	_, err := m.write(ctx, platform.Object{
+		Key:     key,
+		Deleted: true,
+	}, condition)
+	return err
+}
+
+// write checks, waits, applies, and answers or loses the answer.
+func (m *Memory) write(ctx context.Context, object platform.Object, condition platform.Condition) (platform.Version, error) {
+	if err := m.checkUp(object.Key); err != nil {
+		return 0, err
+	}
+	if err := checkSize(object); err != nil {
+		return 0, err
+	}
+	half := m.Faults().Delay / 2
+	if err := sleep(ctx, half); err != nil {
+		return 0, unknownOutcome(object.Key, err)
+	}
+	version, lost, err := m.apply(object, condition)
+	if err != nil {
+		return 0, err
+	}
+	if lost {
+		return 0, unknownOutcome(object.Key, &lostReplyError{})
+	}
+	if err := sleep(ctx, half); err != nil {
+		return 0, unknownOutcome(object.Key, err)
+	}
+	return version, nil
+}
+
+// apply writes the object if the condition holds, and tells whether the reply
+// is to be lost.
+func (m *Memory) apply(object platform.Object, condition platform.Condition) (version platform.Version, lost bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	found, exists := m.objects[object.Key]
+	exists = exists && !found.Deleted
+	if !holds(condition, found.Version, exists) {
+		return 0, false, conflict(object.Key, found.Version, exists)
+	}
+	if object.Deleted && !exists {
+		return 0, false, &platform.NotFoundError{
+			Key: object.Key,
+		}
+	}
+	m.version++
+	object.Version = m.version
+	if m.objects == nil {
+		m.objects = make(map[string]platform.Object)
+	}
+	m.objects[object.Key] = object
+	m.announce()
+	return object.Version, m.loseReply(), nil
+}
+
+// holds tells whether the condition allows a write over what was found.
+func holds(condition platform.Condition, found platform.Version, exists bool) bool {
+	switch condition := condition.(type) {
+	case platform.IfAbsent:
+		return !exists
+	case platform.IfVersion:
+		return exists && found == condition.Version
+	case platform.Always, nil:
+		return true
+	}
+	return false
+}
+
+func conflict(key string, found platform.Version, exists bool) error {
+	if !exists {
+		found = 0
+	}
+	return &platform.ConflictError{
+		Key:   key,
+		Found: found,
+	}
+}
+
+func checkSize(object platform.Object) error {
+	if len(object.Value) <= platform.MaxValueSize {
+		return nil
+	}
+	return &platform.RefusedError{
+		Key:    object.Key,
+		Reason: "value is larger than a megabyte",
+		Status: http.StatusRequestEntityTooLarge,
+	}
+}
