Choose regions, backend servers and entry hosts

**Cause** A request needs a region by the table's weights, a backend server there that takes new work, and its caller needs entry hosts to use.

**Change** Package backend keeps backend servers as one host sees them: slots, leaving, warming, ejection of a minority on evidence from requests, lost regions.

--- /dev/null
+++ b/backend/choose.go
@@ -0,0 +1,104 @@
+package backend
+
+import "time"
+
+// Choose reserves a slot on a backend server of the service in the region.
+// Each reservation must be given to Done once. The errors are
+// [NoServerError], [LostRegionError] and [NoSlotError]; with each of them the
+// request was not run.
+func (p *Pool) Choose(service, region string) (*Reservation, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	g := p.groups[place{service, region}]
+	if g == nil || g.accepting() == 0 {
+		return nil, &NoServerError{
+			Service: service,
+			Region:  region,
+		}
+	}
+	if !g.lostSince.IsZero() {
+		return nil, &LostRegionError{
+			Service: service,
+			Region:  region,
+		}
+	}
+	s := p.pick(g, now)
+	if s == nil || !p.acquire(service, region) {
+		return nil, &NoSlotError{
+			Service: service,
+			Region:  region,
+			Running: g.running,
+		}
+	}
+	return p.reserve(g, s, now), nil
+}
+
+// pick returns the least loaded server of a random sample, or any open server
+// if the sample has none, or nil.
+func (p *Pool) pick(g *group, now time.Time) *server {
+	var best *server
+	for range sampleSize {
+		s := g.servers[p.intN(len(g.servers))]
+		if s.open(now) && (best == nil || s.load(now) < best.load(now)) {
+			best = s
+		}
+	}
+	if best != nil {
+		return best
+	}
+	start := p.intN(len(g.servers))
+	for i := range g.servers {
+		s := g.servers[(start+i)%len(g.servers)]
+		if s.open(now) {
+			return s
+		}
+	}
+	return nil
+}
+
+func (p *Pool) acquire(service, region string) bool {
+	return p.Slots == nil || p.Slots.Acquire(service, region)
+}
+
+func (p *Pool) release(service, region string) {
+	if p.Slots != nil {
+		p.Slots.Release(service, region)
+	}
+}
+
+// reserve counts the request and checks the invariants of a choice.
+func (p *Pool) reserve(g *group, s *server, now time.Time) *Reservation {
+	s.running++
+	g.running++
+	p.checkChoice(s, now)
+	return &Reservation{
+		Server:  s.machine.Name,
+		Service: s.machine.Service,
+		Region:  s.machine.Region,
+		Zone:    s.machine.Zone,
+		Address: s.machine.Address,
+		server:  s,
+	}
+}
+
+// checkChoice asserts what must hold of each choice, apart from the logic that
+// made it.
+func (p *Pool) checkChoice(s *server, now time.Time) {
+	if s.running > s.machine.Slots {
+		p.report(OverSlots{
+			Server:  s.machine.Name,
+			Running: s.running,
+			Slots:   s.machine.Slots,
+		})
+	}
+	if s.leavingSince.IsZero() {
+		return
+	}
+	if after := now.Sub(s.leavingSince); after > LeaveBound {
+		p.report(WorkWhileLeaving{
+			Server: s.machine.Name,
+			After:  after,
+		})
+	}
+}
--- /dev/null
+++ b/backend/observe.go
@@ -0,0 +1,23 @@
+package backend
+
+// Observe takes a probe. A probe older than the last one, or of a server that
+// is not listed, is ignored. A failed probe changes no state: the server keeps
+// what was decided.
+func (p *Pool) Observe(probe Probe) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[probe.Server]
+	if s == nil || probe.Failed || probe.Taken.Before(s.probe.Taken) {
+		return
+	}
+	now := p.now()
+	if now.Sub(probe.Taken) > ProbeLife {
+		return
+	}
+	s.probe = probe
+	s.runningAtProbe = s.running
+	s.probedLeaving = probe.Draining
+	s.updateLeaving(now)
+	g := p.groups[place{s.machine.Service, s.machine.Region}]
+	g.probed(s, now)
+}
--- /dev/null
+++ b/backend/probe.go
@@ -0,0 +1,27 @@
+package backend
+
+import "time"
+
+// reportTrust is how much a reported running request counts beside one that
+// this host knows of.
+const reportTrust = 0.5
+
+// Probe is what a server's health endpoint said. It may lag or mislead.
+type Probe struct {
+	Server string
+	// Taken is when the probe was sent; a probe that took long is old.
+	Taken time.Time
+	// Failed marks a probe without an answer; the fields below are unset.
+	Failed bool
+	// Draining says that the server takes no new work.
+	Draining bool
+	// Running is how many requests the server runs, for all hosts.
+	Running int
+	// Slots is how many requests the server runs at once; zero if not told.
+	Slots int
+}
+
+// fresh reports whether the probe still says something.
+func (p Probe) fresh(now time.Time) bool {
+	return !p.Taken.IsZero() && !p.Failed && now.Sub(p.Taken) <= ProbeLife
+}
--- /dev/null
+++ b/backend/server.go
@@ -0,0 +1,100 @@
+package backend
+
+import (
+	"time"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// State says whether a server may get new work.
+type State string
+
+// The states of a server.
+const (
+	Live    State = "live"
+	Warming State = "warming"
+	Ejected State = "ejected"
+	Leaving State = "leaving"
+)
+
+// server is a backend server and what this host knows of it.
+type server struct {
+	machine platform.Machine
+	// since is when the server began to warm; zero if it is warm.
+	since time.Time
+	// leavingSince is when this host learned that the server leaves.
+	leavingSince time.Time
+	// ejectedUntil is when the ejection ends; zero if there is none.
+	ejectedUntil time.Time
+	ejections    int
+	failures     int
+	running      int
+	probe        Probe
+	// runningAtProbe is what this host ran when the probe came.
+	runningAtProbe int
+	listedLeaving  bool
+	probedLeaving  bool
+	gone           bool
+}
+
+// state returns the server's state at the time.
+func (s *server) state(now time.Time) State {
+	if !s.leavingSince.IsZero() || s.gone {
+		return Leaving
+	}
+	if now.Before(s.ejectedUntil) {
+		return Ejected
+	}
+	if s.warmth(now) < 1 {
+		return Warming
+	}
+	return Live
+}
+
+// warmth returns the part of its slots that the server may get, up to 1.
+func (s *server) warmth(now time.Time) float64 {
+	if s.since.IsZero() {
+		return 1
+	}
+	part := float64(now.Sub(s.since)) / float64(WarmTime)
+	return min(max(part, 0), 1)
+}
+
+// slots returns how many requests this host may run on the server now.
+func (s *server) slots(now time.Time) int {
+	warm := s.warmth(now)
+	if warm >= 1 {
+		return s.machine.Slots
+	}
+	return max(1, int(warm*float64(s.machine.Slots)))
+}
+
+// open reports whether the server takes one more request from this host.
+func (s *server) open(now time.Time) bool {
+	state := s.state(now)
+	if state != Live && state != Warming {
+		return false
+	}
+	return s.running < s.slots(now)
+}
+
+// load returns the known load as a part of the slots: requests running from
+// this host, and those of others if a fresh probe told of them.
+func (s *server) load(now time.Time) float64 {
+	others := 0
+	if s.probe.fresh(now) {
+		others = max(0, s.probe.Running-s.runningAtProbe)
+	}
+	return (float64(s.running) + reportTrust*float64(others)) / float64(s.slots(now))
+}
+
+// updateLeaving keeps the time since which the server is known to leave.
+func (s *server) updateLeaving(now time.Time) {
+	if !s.listedLeaving && !s.probedLeaving {
+		s.leavingSince = time.Time{}
+		return
+	}
+	if s.leavingSince.IsZero() {
+		s.leavingSince = now
+	}
+}
--- /dev/null
+++ b/steer/errors.go
@@ -0,0 +1,35 @@
+package steer
+
+import (
+	"fmt"
+	"time"
+)
+
+// NoRegionError reports that no region has weight for the route.
+type NoRegionError struct {
+	Route string
+}
+
+func (e *NoRegionError) Error() string {
+	return fmt.Sprintf("no region serves route %q", e.Route)
+}
+
+// LimitError reports that a fleet-wide limit has no token for the request. It
+// was not run.
+type LimitError struct {
+	// Limit is the limit's name, as of [ShiftLimit] or [LinkLimit].
+	Limit string
+	// RetryAfter is when a token may be free; zero if not known.
+	RetryAfter time.Duration
+}
+
+func (e *LimitError) Error() string {
+	return fmt.Sprintf("limit %q has no room for the request", e.Limit)
+}
+
+// NoHostError reports that no entry host is listed.
+type NoHostError struct{}
+
+func (e *NoHostError) Error() string {
+	return "no entry host is listed"
+}
--- /dev/null
+++ b/steer/place.go
@@ -0,0 +1,57 @@
+package steer
+
+import (
+	"math"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Point is the stable hash of a request's origin; requests with the same point
+// go to the same region while the weights stand.
+type Point uint64
+
+// NewPoint returns the point of a team's client.
+func NewPoint(team string, client netip.Addr) Point {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(team)
+	bytes := client.As16()
+	_, _ = digest.Write(bytes[:])
+	return Point(digest.Sum64())
+}
+
+// Place returns the point's region, empty if no region has weight. It is
+// weighted rendezvous hashing: a point moves between two regions only if the
+// ratio of their weights changes in favour of the second.
+func (w Weights) Place(point Point) string {
+	best := ""
+	least := math.Inf(1)
+	for _, x := range w {
+		if x.Weight <= 0 {
+			continue
+		}
+		score := -math.Log(unit(point, x.Region)) / x.Weight
+		if score < least {
+			best = x.Region
+			least = score
+		}
+	}
+	return best
+}
+
+// unit hashes the point and the region to a number in (0,1).
+func unit(point Point, region string) float64 {
+	const mantissaBits = 53
+	hash := mix(uint64(point) ^ xxhash.Sum64String(region))
+	return (float64(hash>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+}
+
+// mix spreads the bits of a hash (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
