--- a/admission/desk.go
+++ b/admission/desk.go
@@ -28,8 +28,8 @@
 
 // Serve runs the request if it may run, passes it to the host that may run it,
 // or says what came of it before. The holder is the team whose key came with
-// the request, empty on routes open to all. A named request gets its name from
-// its ticket.
+// the request, empty on routes open to all. A request that comes with a ticket or
+// an idempotency key gets its name from that.
 func (d *Desk) Serve(ctx context.Context, request *exchange.Request, holder string, run Run) exchange.Outcome {
 	if text := request.Header.Get(header.Ticket); text != "" {
 		return d.serveTicket(ctx, request, text, holder, run)
@@ -91,6 +91,7 @@
 }
 
 func (d *Desk) serveKey(ctx context.Context, request *exchange.Request, key, holder string, run Run) exchange.Outcome {
+	request.Name = ticket.ClaimID(holder, key)
 	decision, err := d.Claims.Admit(ctx, holder, key)
 	var wrong *ticket.KeyError
 	if errors.As(err, &wrong) {
--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -10,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -19,11 +17,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"trefoilline.example/trefoilline/admission"
-	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/header"
 	"trefoilline.example/trefoilline/internal/standin/backend"
-	"trefoilline.example/trefoilline/retry"
+	"trefoilline.example/trefoilline/internal/standin/store"
 	"trefoilline.example/trefoilline/ticket"
 )
 
@@ -44,6 +40,7 @@
 	t        *testing.T
 	naive    bool
 	network  *network
+	store    *store.Memory
 	backends []*backend.Server
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -59,19 +56,6 @@
 	reruns, falseNotRun, wrongAnswers int
 }
 
-// entry is one process on an entry host.
-type entry struct {
-	world   *world
-	index   int
-	address netip.AddrPort
-	server  *http.Server
-	client  *exchange.Client
-	plain   *http.Client
-	sender  *retry.Sender
-	desk    *admission.Desk
-	frozen  atomic.Pointer[chan struct{}]
-}
-
 func backendAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 80)
 }
@@ -82,142 +66,20 @@
 	return w.random.IntN(n)
 }
 
-// start runs a new process on the host.
-func (w *world) start(i int) {
-	e := &entry{
-		world:   w,
-		index:   i,
-		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
-		client: &exchange.Client{
-			Dial:          w.network.dial,
-			AnswerTimeout: 2 * time.Second,
-			Violated:      func(exchange.Violation) { w.violations.Add(1) },
-		},
-		plain: &http.Client{
-			Transport: &http.Transport{
-				DialContext: w.network.dial,
-			},
-			Timeout: 2 * time.Second,
-		},
-	}
-	e.desk = &admission.Desk{
-		Register: &ticket.Register{
-			Host:     e.address,
-			Violated: func(ticket.Violation) { w.violations.Add(1) },
-		},
-		Send: e.client.Send,
-	}
-	e.sender = &retry.Sender{
-		Send: e.send,
-	}
-	e.server = w.network.serve(w.t, e.address, e)
-	w.mu.Lock()
-	w.entries[i] = e
-	w.mu.Unlock()
-}
-
 func (w *world) entry(i int) *entry {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.entries[i]
 }
 
-// kill ends the process; its memory is gone.
-func (e *entry) kill() {
-	_ = e.server.Close()
-	e.client.Close()
-	e.plain.CloseIdleConnections()
-}
-
-// pause blocks while the process is frozen.
-func (e *entry) pause() {
-	if thawed := e.frozen.Load(); thawed != nil {
-		<-*thawed
-	}
-}
-
-func (e *entry) freeze() (thaw func()) {
-	thawed := make(chan struct{})
-	e.frozen.Store(&thawed)
-	return func() {
-		e.frozen.Store(nil)
-		close(thawed)
-	}
-}
-
-// send is the client's, on a process that may freeze on both sides of it.
-func (e *entry) send(ctx context.Context, server netip.AddrPort, request *exchange.Request) exchange.Outcome {
-	e.pause()
-	defer e.pause()
-	return e.client.Send(ctx, server, request)
-}
-
-func (e *entry) pick(tried []netip.AddrPort) (netip.AddrPort, bool) {
-	first := e.world.intn(servers)
-	for i := range servers {
-		server := backendAddress((first + i) % servers)
-		if !slices.Contains(tried, server) {
-			return server, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
-// ServeHTTP is the request path of an entry host in little.
-func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.pause()
-	request := exchange.FromHTTP(r, "")
-	if s, isStream := request.Body.(*exchange.Stream); isStream {
-		body, err := exchange.Buffer(s, 1<<16)
-		if err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		request.Body = body
-	}
-	if e.world.naive {
-		e.serveNaive(w, request)
-		return
-	}
-	outcome := e.desk.Serve(r.Context(), request, "", func(ctx context.Context) exchange.Outcome {
-		e.pause()
-		return e.sender.Do(ctx, request, e.pick)
-	})
-	w.Header().Set(header.Request, request.Name)
-	switch o := outcome.(type) {
-	case *exchange.Answered:
-		defer o.Close()
-		_ = exchange.Copy(w, o)
-	case exchange.NotRun:
-		w.Header().Set(header.NotRun, string(o.Reason()))
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case *exchange.Unknown:
-		w.Header().Set(header.Outcome, string(o.Reason))
-		w.WriteHeader(http.StatusBadGateway)
-	}
-}
-
-// serveNaive forwards with an http.Client, tries another backend server after
-// an error, and says "not run" if that fails too.
-func (e *entry) serveNaive(w http.ResponseWriter, request *exchange.Request) {
-	name, err := ticket.Parse(request.Header.Get(header.Ticket))
-	require.NoError(e.world.t, err)
-	body := request.Body.(*exchange.Bytes)
-	for range 2 {
-		server, _ := e.pick(nil)
-		outgoing, err := http.NewRequest(request.Method, "http://"+server.String()+request.URL.String(), bytes.NewReader(body.Content))
-		require.NoError(e.world.t, err)
-		outgoing.Header.Set(header.Request, name.ID())
-		response, err := e.plain.Do(outgoing)
-		if err != nil {
-			continue
-		}
-		defer response.Body.Close()
-		w.WriteHeader(response.StatusCode)
-		_, _ = io.Copy(w, response.Body)
-		return
+// nameOf is the name under which a request reaches a backend server.
+func nameOf(t *testing.T, h http.Header) string {
+	if key := h.Get(header.IdempotencyKey); key != "" {
+		return ticket.ClaimID("", key)
 	}
-	w.Header().Set(header.NotRun, "failed")
-	w.WriteHeader(http.StatusServiceUnavailable)
+	name, err := ticket.Parse(h.Get(header.Ticket))
+	require.NoError(t, err)
+	return name.ID()
 }
 
 // disturb sets new faults again and again until the run is over.
@@ -228,6 +90,7 @@
 			return
 		case <-time.After(time.Duration(w.intn(400)) * time.Millisecond):
 		}
+		w.store.SetFaults(w.storeFaults())
 		if w.intn(3) > 0 {
 			w.backends[w.intn(servers)].SetFaults(w.faults())
 			continue
@@ -245,6 +108,15 @@
 	}
 }
 
+func (w *world) storeFaults() store.Faults {
+	return store.Faults{
+		Down:        w.intn(4) == 0,
+		Delay:       time.Duration(w.intn(3)*w.intn(300)) * time.Millisecond,
+		LoseReplies: w.intn(3) * w.intn(3),
+		StaleReads:  w.intn(6) == 0,
+	}
+}
+
 func (w *world) faults() backend.Faults {
 	drops := []backend.DropPoint{
 		backend.DropBefore,
@@ -294,9 +166,10 @@
 	return total
 }
 
-// caller makes payments one after the other. It sends each again, under the
-// same name and to any host, until it knows what came of it.
-func (w *world) caller() {
+// caller makes payments one after the other, half of them under tickets and half
+// under keys of its own. It sends each again, under the same name and to any
+// host, until it knows what came of it.
+func (w *world) caller(index int) {
 	client := &http.Client{
 		Transport: &http.Transport{
 			DialContext: w.network.dial,
@@ -304,11 +177,16 @@
 		Timeout: 3 * time.Second,
 	}
 	defer client.CloseIdleConnections()
-	for range payments {
-		// A look-up: the host answers with names of its own.
-		name := w.entry(w.intn(hosts)).desk.Register.Issue("", 1).Name(0)
+	for number := range payments {
+		h := http.Header{}
+		if number%2 == 0 {
+			// A look-up: the host answers with names of its own.
+			h.Set(header.Ticket, w.entry(w.intn(hosts)).desk.Register.Issue("", 1).Name(0))
+		} else {
+			h.Set(header.IdempotencyKey, fmt.Sprintf("order-%d-%d", index, number))
+		}
 		for range maxSends {
-			if w.pay(client, name) {
+			if w.pay(client, h) {
 				break
 			}
 			time.Sleep(time.Duration(w.intn(300)) * time.Millisecond)
@@ -317,13 +195,12 @@
 }
 
 // pay sends the payment once, and reports whether it was answered.
-func (w *world) pay(client *http.Client, text string) bool {
-	name, err := ticket.Parse(text)
-	require.NoError(w.t, err)
+func (w *world) pay(client *http.Client, h http.Header) bool {
+	name := nameOf(w.t, h)
 	url := fmt.Sprintf("http://%s/payments", w.entry(w.intn(hosts)).address)
-	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte("pay "+name.ID())))
+	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte("pay "+name)))
 	require.NoError(w.t, err)
-	request.Header.Set(header.Ticket, text)
+	request.Header = h.Clone()
 	response, err := client.Do(request)
 	var body []byte
 	if err == nil {
@@ -333,15 +210,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.sends++
-	delete(w.last, name.ID())
+	delete(w.last, name)
 	switch {
 	case err != nil:
 		w.unknown++
 		return false
 	case response.Header.Get(header.NotRun) != "":
 		w.notRun++
-		w.last[name.ID()] = header.Reason(response.Header.Get(header.NotRun))
-		if w.runs(name.ID()) > 0 {
+		w.last[name] = header.Reason(response.Header.Get(header.NotRun))
+		if w.runs(name) > 0 {
 			w.falseNotRun++
 		}
 		return false
@@ -354,7 +231,7 @@
 	var reply struct {
 		Request string `json:"request"`
 	}
-	if json.Unmarshal(body, &reply) != nil || reply.Request != name.ID() {
+	if json.Unmarshal(body, &reply) != nil || reply.Request != name {
 		w.wrongAnswers++
 	}
 	return true
@@ -368,6 +245,7 @@
 			t:       t,
 			naive:   naive,
 			network: newNetwork(),
+			store:   &store.Memory{},
 			random:  rand.New(rand.NewPCG(seed, 0)),
 			entries: make([]*entry, hosts),
 			last:    make(map[string]header.Reason),
@@ -385,12 +263,13 @@
 		done := make(chan struct{})
 		var disturbing, paying sync.WaitGroup
 		disturbing.Go(func() { w.disturb(done) })
-		for range callers {
-			paying.Go(w.caller)
+		for index := range callers {
+			paying.Go(func() { w.caller(index) })
 		}
 		paying.Wait()
 		close(done)
 		disturbing.Wait()
+		w.store.SetFaults(store.Faults{})
 		time.Sleep(time.Minute) // virtual: what still runs comes to its end
 		w.reruns = w.countReruns()
 		for name := range w.last {
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"trefoilline.example/trefoilline/header"
 )
@@ -21,7 +20,7 @@
 	try       *try
 	response  *http.Response
 	announced []string
-	stall     *time.Timer
+	stall     *watchdog
 	received  int64
 	whole     bool
 	err       error
@@ -48,7 +47,7 @@
 			Host: t.server,
 		})
 	}
-	if isUnbounded(response) {
+	if t.request.Method != http.MethodHead && isUnbounded(response) {
 		defer t.end()
 		return t.unknown(Unbounded, &UnboundedAnswerError{
 			Server: t.server,
@@ -106,30 +105,23 @@
 	for name := range response.Trailer {
 		a.announced = append(a.announced, name)
 	}
-	if timeout := t.client.StallTimeout; timeout > 0 {
-		a.stall = time.AfterFunc(timeout, t.stalled)
+	a.stall = &watchdog{
+		span:    t.client.StallTimeout,
+		expired: func() { t.silent(t.client.StallTimeout) },
 	}
 	return a
 }
 
-func (t *try) stalled() {
-	t.cancel(&SilentError{
-		Server:  t.server,
-		Timeout: t.client.StallTimeout,
-	})
-}
-
 // Read reads from the answer's body. It returns [io.EOF] only if the answer is
 // whole, and otherwise a [BrokenAnswerError].
 func (a *Answered) Read(p []byte) (int, error) {
 	if a.err != nil {
 		return 0, a.err
 	}
+	a.stall.run()
 	n, err := a.response.Body.Read(p)
+	a.stall.pause()
 	a.received += int64(n)
-	if a.stall != nil {
-		a.stall.Reset(a.try.client.StallTimeout)
-	}
 	if err == nil {
 		return n, nil
 	}
@@ -140,7 +132,7 @@
 // ended returns io.EOF if the answer came whole.
 func (a *Answered) ended(err error) error {
 	if err == io.EOF {
-		err = a.checkTrailers()
+		err = a.check()
 	}
 	if err == nil {
 		a.whole = true
@@ -153,7 +145,14 @@
 	}
 }
 
-func (a *Answered) checkTrailers() error {
+// check compares a body that came to its end with what the answer stated.
+func (a *Answered) check() error {
+	if a.hasBody() && a.Length >= 0 && a.received != a.Length {
+		return &LengthError{
+			Stated:   a.Length,
+			Received: a.received,
+		}
+	}
 	for _, name := range a.announced {
 		if len(a.response.Trailer[name]) == 0 {
 			return &MissingTrailerError{
@@ -164,6 +163,11 @@
 	return nil
 }
 
+// hasBody tells whether the answer has the body that its length states.
+func (a *Answered) hasBody() bool {
+	return a.try.request.Method != http.MethodHead && a.Status != http.StatusNotModified
+}
+
 // Trailer returns the trailers, once the answer is whole.
 func (a *Answered) Trailer() http.Header {
 	if !a.whole {
@@ -185,9 +189,7 @@
 // Close ends the answer. The connection of one that was not read to its end is
 // closed, so that the rest of it never meets another request.
 func (a *Answered) Close() {
-	if a.stall != nil {
-		a.stall.Stop()
-	}
+	a.stall.stop()
 	if !a.whole {
 		a.try.gate.abandon()
 	}
--- a/exchange/answer_test.go
+++ b/exchange/answer_test.go
@@ -153,6 +153,21 @@
 	}
 }
 
+func TestAnswersWithoutBodyPass(t *testing.T) {
+	for text, method := range map[string]string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n":           http.MethodHead,
+		"HTTP/1.1 200 OK\r\n\r\n":                                  http.MethodHead,
+		"HTTP/1.1 304 Not Modified\r\nContent-Length: 100\r\n\r\n": http.MethodGet,
+		"HTTP/1.1 204 No Content\r\n\r\n":                          http.MethodDelete,
+	} {
+		outcome := newClient(t).Send(t.Context(), script(t, text), newRequest("r1", method, "/", nil))
+		answered, isAnswered := outcome.(*exchange.Answered)
+		require.True(t, isAnswered, text)
+		require.NoError(t, exchange.Copy(httptest.NewRecorder(), answered))
+		answered.Close()
+	}
+}
+
 // TestDuplicatedAnswerCrossesNothing has a server that answers a request twice,
 // so that the second answer waits on the connection for the next request.
 func TestDuplicatedAnswerCrossesNothing(t *testing.T) {
--- a/exchange/body.go
+++ b/exchange/body.go
@@ -77,7 +77,9 @@
 // over; from then on source yields nothing.
 type source struct {
 	reader io.Reader
-	ended  atomic.Bool
+	// beginning holds while the caller sends the body.
+	beginning *watchdog
+	ended     atomic.Bool
 	// finish runs once, at the end of the body.
 	finish func()
 }
@@ -87,7 +89,9 @@
 	if s.ended.Load() {
 		return 0, &GateShutError{}
 	}
+	s.beginning.pause()
 	n, err := s.reader.Read(p)
+	s.beginning.run()
 	if err == io.EOF && s.finish != nil {
 		s.finish()
 		s.finish = nil
@@ -101,10 +105,3 @@
 // end stops all further reading. A read that waits for the caller ends with the
 // caller's connection.
 func (s *source) end() { s.ended.Store(true) }
-
-// noReplay is an empty body that the transport can't rewind, so that it does
-// not count the request among those that it may send again.
-type noReplay struct{}
-
-func (noReplay) Read([]byte) (int, error) { return 0, io.EOF }
-func (noReplay) Close() error             { return nil }
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -31,14 +31,15 @@
 
 func (e *TransferError) Unwrap() error { return e.Cause }
 
-// SilentError reports that a backend server did not begin an answer in time.
+// SilentError reports that a backend server did not begin an answer, or go on
+// with it, in time.
 type SilentError struct {
 	Server  netip.AddrPort
 	Timeout time.Duration
 }
 
 func (e *SilentError) Error() string {
-	return fmt.Sprintf("backend server %s began no answer within %s", e.Server, e.Timeout)
+	return fmt.Sprintf("backend server %s was silent for %s", e.Server, e.Timeout)
 }
 
 // CrossedAnswerError reports an answer to another request.
@@ -76,6 +77,17 @@
 
 func (e *BrokenAnswerError) Unwrap() error { return e.Cause }
 
+// LengthError reports an answer whose body has another length than it stated.
+type LengthError struct {
+	// Stated and Received are in bytes.
+	Stated   int64
+	Received int64
+}
+
+func (e *LengthError) Error() string {
+	return fmt.Sprintf("answer stated %d bytes and had %d", e.Stated, e.Received)
+}
+
 // MissingTrailerError reports a trailer that was announced and did not come.
 type MissingTrailerError struct {
 	Name string
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -32,7 +32,7 @@
 	}
 	t := c.newTry(ctx, server, request)
 	response, err := t.transport.RoundTrip(t.outgoing)
-	t.stopTimer()
+	t.beginning.stop()
 	if err != nil {
 		return t.failed(err)
 	}
@@ -53,7 +53,8 @@
 	// caller is the context of the request, which the try's context ends with.
 	caller context.Context
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	// beginning watches for the beginning of the answer.
+	beginning *watchdog
 }
 
 func (c *Client) newTry(ctx context.Context, server netip.AddrPort, request *Request) *try {
@@ -64,6 +65,10 @@
 		gate:    &gate{},
 		caller:  ctx,
 	}
+	t.beginning = &watchdog{
+		span:    c.AnswerTimeout,
+		expired: func() { t.silent(c.AnswerTimeout) },
+	}
 	t.transport, t.echoes = c.transport(server, request.Idempotent)
 	inner, cancel := context.WithCancelCause(ctx)
 	t.cancel = cancel
@@ -71,9 +76,7 @@
 		GotConn: t.gotConnection,
 	}
 	t.outgoing = t.build(httptrace.WithClientTrace(inner, trace))
-	if c.AnswerTimeout > 0 {
-		t.timer = time.AfterFunc(c.AnswerTimeout, t.silent)
-	}
+	t.beginning.run()
 	return t
 }
 
@@ -86,19 +89,14 @@
 	}
 }
 
-func (t *try) silent() {
+// silent ends a try whose backend server said nothing for the span.
+func (t *try) silent(span time.Duration) {
 	t.cancel(&SilentError{
 		Server:  t.server,
-		Timeout: t.client.AnswerTimeout,
+		Timeout: span,
 	})
 }
 
-func (t *try) stopTimer() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
 // build makes the request that goes to the backend server.
 func (t *try) build(ctx context.Context) *http.Request {
 	r := t.request
--- a/exchange/silent_test.go
+++ b/exchange/silent_test.go
@@ -1,12 +1,16 @@
 package exchange_test
 
 import (
+	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -181,3 +185,68 @@
 		require.False(t, get(t.Context(), client, start(t, silent), true))
 	}
 }
+
+// TestSlowCallerIsNoSilentServer has a caller that sends and reads slowly, in
+// virtual time.
+func TestSlowCallerIsNoSilentServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		go func() { answerScript(far, []string{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull"}) }()
+		client := &exchange.Client{
+			AnswerTimeout: time.Second,
+			StallTimeout:  time.Second,
+			Dial:          func(context.Context, string, string) (net.Conn, error) { return near, nil },
+		}
+		request := newRequest("r1", http.MethodPost, "/", nil)
+		request.Body = &exchange.Stream{
+			Reader: &slowReader{
+				Reader: strings.NewReader("body"),
+				delay:  time.Hour,
+			},
+			Length: 4,
+		}
+		answered, isAnswered := client.Send(t.Context(), anyServer, request).(*exchange.Answered)
+		require.True(t, isAnswered)
+		time.Sleep(time.Hour)
+		body, err := io.ReadAll(answered)
+		require.NoError(t, err)
+		require.Equal(t, "full", string(body))
+		answered.Close()
+	})
+}
+
+// TestEarlyAnswerIsNotCutByItsUpload has a server that answers while the caller
+// still sends, slowly.
+func TestEarlyAnswerIsNotCutByItsUpload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		go func() {
+			reader := bufio.NewReader(far)
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nfull")
+			time.Sleep(3 * time.Hour)
+			_, _ = io.WriteString(far, "full")
+		}()
+		client := &exchange.Client{
+			AnswerTimeout: time.Minute,
+			Dial:          func(context.Context, string, string) (net.Conn, error) { return near, nil },
+		}
+		request := newRequest("r1", http.MethodPost, "/", nil)
+		request.Body = &exchange.Stream{
+			Reader: &slowReader{
+				Reader: strings.NewReader("body"),
+				delay:  time.Hour,
+			},
+			Length: 4,
+		}
+		answered, isAnswered := client.Send(t.Context(), anyServer, request).(*exchange.Answered)
+		require.True(t, isAnswered)
+		body, err := io.ReadAll(answered)
+		require.NoError(t, err)
+		require.Equal(t, "fullfull", string(body))
+		answered.Close()
+		_ = far.Close()
+	})
+}
--- a/exchange/strip.go
+++ b/exchange/strip.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"unicode/utf8"
 
 	"trefoilline.example/trefoilline/header"
 )
@@ -13,6 +14,9 @@
 // sets anew those that a backend server gets.
 const ownPrefix = "trefoilline-"
 
+// caseBit is what differs between the cases of an ASCII letter.
+const caseBit = 0x20
+
 // bearerScheme is the authorization scheme that carries the caller's key.
 const bearerScheme = "bearer"
 
@@ -87,7 +91,7 @@
 	if isOwn(name) || holdsKey(name, key) {
 		return nil
 	}
-	if normal(name) == "cookie" {
+	if strings.EqualFold(name, "Cookie") {
 		values = stripCookies(values, key)
 	}
 	var kept []string
@@ -100,18 +104,18 @@
 	return kept
 }
 
-// normal writes a name as all backend servers read it: many take an underscore
-// for a hyphen, and none tells cases apart.
-func normal(name string) string {
-	return strings.ReplaceAll(strings.ToLower(strings.TrimSpace(name)), "_", "-")
-}
-
+// isOwn tells whether the name of a header is the system's own. Many backend
+// servers take an underscore for a hyphen.
 func isOwn(name string) bool {
-	return strings.HasPrefix(normal(name), ownPrefix)
+	if len(name) < len(ownPrefix) {
+		return false
+	}
+	prefix := strings.ReplaceAll(name[:len(ownPrefix)], "_", "-")
+	return strings.EqualFold(prefix, ownPrefix)
 }
 
 func isBearer(name, value string) bool {
-	if normal(name) != "authorization" {
+	if !strings.EqualFold(name, "Authorization") {
 		return false
 	}
 	scheme, _, _ := strings.Cut(strings.TrimSpace(value), " ")
@@ -120,26 +124,53 @@
 }
 
 // namesKey tells whether a value, such as a referring address, has the key's
-// parameter in it.
+// parameter in it, in any spelling.
 func namesKey(value string) bool {
-	return strings.Contains(normal(unescape(value)), header.KeyParameter)
+	if strings.Contains(value, "_") {
+		value = strings.ReplaceAll(value, "_", "-")
+	}
+	return holds(value, header.KeyParameter)
 }
 
-// holdsKey tells whether the text has the key in it, escaped or not.
+// holdsKey tells whether the text has the key in it.
 func holdsKey(text, key string) bool {
-	if key == "" {
-		return false
+	return key != "" && holds(text, key)
+}
+
+// holds tells whether the text has the part in it, in any case, escaped or not.
+func holds(text, part string) bool {
+	if containsFold(text, part) {
+		return true
 	}
-	key = strings.ToLower(key)
-	return strings.Contains(strings.ToLower(text), key) ||
-		strings.Contains(strings.ToLower(unescape(text)), key)
+	return strings.Contains(text, "%") && containsFold(unescape(text), part)
+}
+
+// containsFold is [strings.Contains] in any case. Most texts are ASCII, for
+// which it needs no memory.
+func containsFold(text, part string) bool {
+	if part == "" || !isASCII(text) || !isASCII(part) {
+		return strings.Contains(strings.ToLower(text), strings.ToLower(part))
+	}
+	for i := 0; i+len(part) <= len(text); i++ {
+		// Letters of different case differ in one bit.
+		if (text[i]^part[0])&^caseBit == 0 && strings.EqualFold(text[i:i+len(part)], part) {
+			return true
+		}
+	}
+	return false
+}
+
+func isASCII(text string) bool {
+	for i := range len(text) {
+		if text[i] >= utf8.RuneSelf {
+			return false
+		}
+	}
+	return true
 }
 
 // unescape undoes what percent escapes it can, and leaves the others.
 func unescape(text string) string {
-	if !strings.Contains(text, "%") {
-		return text
-	}
 	if whole, err := url.PathUnescape(text); err == nil {
 		return whole
 	}
--- a/exchange/upload.go
+++ b/exchange/upload.go
@@ -16,7 +16,7 @@
 		outgoing.ContentLength = int64(len(b.Content))
 		t.attach(outgoing, bytes.NewReader(b.Content), b.Trailer)
 	default:
-		outgoing.Body = emptyBody(outgoing.Method)
+		outgoing.Body = http.NoBody
 	}
 }
 
@@ -24,7 +24,8 @@
 // the end of the body, without what can carry the key.
 func (t *try) attach(outgoing *http.Request, reader io.Reader, trailer http.Header) {
 	t.source = &source{
-		reader: reader,
+		reader:    reader,
+		beginning: t.beginning,
 	}
 	outgoing.Body = t.source
 	names := t.forwardTrailer(trailer)
@@ -54,14 +55,3 @@
 	}
 	return forwardTrailer(trailer, t.request.Key)
 }
-
-// emptyBody returns the body of a request without one. A method that usually
-// has a body would send chunks for a body of unknown length, so it gets none;
-// the transport replays such a request only if nothing of it was written.
-func emptyBody(method string) io.ReadCloser {
-	switch method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		return http.NoBody
-	}
-	return noReplay{}
-}
--- a/internal/standin/backend/record.go
+++ b/internal/standin/backend/record.go
@@ -85,8 +85,11 @@
 	return health
 }
 
+// IsCrashed tells whether the server drops every connection.
+func (s *Server) IsCrashed() bool { return s.current().Crashed }
+
 func (s *Server) serveHealth(w http.ResponseWriter) {
-	if s.current().Crashed {
+	if s.IsCrashed() {
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, s.Health())
--- /dev/null
+++ b/suspect/suspect_test.go
@@ -0,0 +1,110 @@
+package suspect_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/suspect"
+)
+
+var (
+	first  = netip.MustParseAddrPort("10.0.0.1:80")
+	second = netip.MustParseAddrPort("10.0.0.2:80")
+)
+
+func newRequest(path string, body exchange.Body) *exchange.Request {
+	return &exchange.Request{
+		Method: http.MethodPost,
+		URL: &url.URL{
+			Path: path,
+		},
+		Body: body,
+	}
+}
+
+func bytes(text string) *exchange.Bytes {
+	return &exchange.Bytes{
+		Content: []byte(text),
+	}
+}
+
+func TestOtherRequestsGoOn(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	list := &suspect.List{
+		Clock: func() time.Time { return now },
+	}
+	poison := newRequest("/orders", bytes("a"))
+	list.Lost(poison, first)
+	list.Lost(poison, first)
+	require.False(t, list.Refuses(poison), "one server was lost, once")
+	list.Lost(poison, second)
+	require.True(t, list.Refuses(newRequest("/orders", bytes("a"))))
+	require.False(t, list.Refuses(newRequest("/orders", bytes("b"))))
+	require.False(t, list.Refuses(newRequest("/stock", bytes("a"))))
+	now = now.Add(suspect.DefaultMemory + time.Second)
+	require.False(t, list.Refuses(poison))
+	require.Empty(t, list.Losses())
+}
+
+func TestRestartedServerCountsAgain(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	list := &suspect.List{
+		Clock: func() time.Time { return now },
+	}
+	poison := newRequest("/orders", &exchange.Stream{
+		Length: 100_000,
+		Head:   []byte("head"),
+	})
+	list.Lost(poison, first)
+	now = now.Add(5 * time.Second)
+	list.Lost(poison, first)
+	require.True(t, list.Refuses(poison))
+}
+
+func TestLossesAreSharedInAnyOrderAnyNumberOfTimes(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var sent []suspect.Loss
+	clock := func() time.Time { return now }
+	origin := &suspect.List{
+		Clock: clock,
+		Share: func(loss suspect.Loss) { sent = append(sent, loss) },
+	}
+	poison := newRequest("/orders", nil)
+	origin.Lost(poison, first)
+	origin.Lost(poison, second)
+	encoded, err := json.Marshal(sent)
+	require.NoError(t, err)
+	var received []suspect.Loss
+	require.NoError(t, json.Unmarshal(encoded, &received))
+	other := &suspect.List{
+		Clock: clock,
+	}
+	for range 3 {
+		other.Add(received[1])
+		other.Add(received[0])
+	}
+	require.Equal(t, 2, other.Count(suspect.Of(poison)))
+	require.Equal(t, origin.Losses(), received)
+	var f suspect.Fingerprint
+	var wrong *suspect.FingerprintError
+	require.ErrorAs(t, f.UnmarshalText([]byte("12zz")), &wrong)
+}
+
+func TestListIsBounded(t *testing.T) {
+	list := &suspect.List{
+		Limit: 10,
+	}
+	for n := range 100 {
+		list.Lost(newRequest(fmt.Sprint("/", n), nil), first)
+	}
+	require.Len(t, list.Losses(), 10)
+	require.Equal(t, 1, list.Count(suspect.Of(newRequest("/99", nil))))
+}
--- a/ticket/claim.go
+++ b/ticket/claim.go
@@ -152,13 +152,17 @@
 	return c.Store.Put(ctx, key, encoded, condition)
 }
 
-// storeKey hides the holder and the key, which may be long or private.
-func (c *Claims) storeKey(holder, key string) string {
+// ClaimID names the requests of a holder under a key, without showing either.
+func ClaimID(holder, key string) string {
 	hash := sha256.New()
 	_, _ = hash.Write([]byte(holder))
 	_, _ = hash.Write([]byte{0})
 	_, _ = hash.Write([]byte(key))
-	return c.prefix() + hex.EncodeToString(hash.Sum(nil))
+	return hex.EncodeToString(hash.Sum(nil))
+}
+
+func (c *Claims) storeKey(holder, key string) string {
+	return c.prefix() + ClaimID(holder, key)
 }
 
 func (c *Claims) prefix() string {
--- a/ticket/claim_test.go
+++ b/ticket/claim_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"runtime"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"trefoilline.example/trefoilline/internal/standin/store"
 	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/ticket"
 )
@@ -25,134 +25,32 @@
 	false: 110 * time.Millisecond,
 }
 
-// memoryStore is a store in memory that can be down and lose replies.
-type memoryStore struct {
-	mu       sync.Mutex
-	objects  map[string]platform.Object
-	version  platform.Version
-	writes   int
-	isDown   bool
-	loseNext bool
-}
-
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isDown {
-		return platform.Object{}, &platform.UnreachedError{
-			Key: key,
-		}
-	}
-	object, found := s.objects[key]
-	if !found {
-		return platform.Object{}, &platform.NotFoundError{
-			Key: key,
-		}
-	}
-	return object, nil
-}
-
-func (s *memoryStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
-	return s.change(key, condition, func() {
-		s.objects[key] = platform.Object{
-			Key:     key,
-			Value:   value,
-			Version: s.version,
-		}
-	})
-}
-
-func (s *memoryStore) Delete(_ context.Context, key string, condition platform.Condition) error {
-	_, err := s.change(key, condition, func() { delete(s.objects, key) })
-	return err
-}
-
-func (s *memoryStore) change(key string, condition platform.Condition, apply func()) (platform.Version, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.isDown {
-		return 0, &platform.UnreachedError{
-			Key: key,
-		}
-	}
-	s.writes++
-	object := s.objects[key]
-	wanted, isVersion := condition.(platform.IfVersion)
-	if isVersion && wanted.Version != object.Version || !isVersion && object.Version != 0 {
-		return 0, &platform.ConflictError{
-			Key:   key,
-			Found: object.Version,
-		}
-	}
-	s.version++
-	apply()
-	if s.loseNext {
-		s.loseNext = false
-		return 0, &platform.UnknownOutcomeError{
-			Key: key,
-		}
-	}
-	return s.version, nil
-}
-
-func (s *memoryStore) List(_ context.Context, prefix string) ([]platform.Object, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var found []platform.Object
-	for key, object := range s.objects {
-		if strings.HasPrefix(key, prefix) {
-			found = append(found, object)
-		}
-	}
-	return found, nil
-}
-
-func (*memoryStore) Watch(context.Context, string, platform.Version, time.Duration) (platform.Changes, error) {
-	return platform.Changes{}, nil
-}
-
-func (s *memoryStore) setDown(isDown bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.isDown = isDown
-}
-
-func (s *memoryStore) countWrites() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.writes
-}
-
-func newStore() *memoryStore {
-	return &memoryStore{
-		objects: make(map[string]platform.Object),
-	}
-}
-
 // farStore is the store as one host sees it.
 type farStore struct {
-	*memoryStore
+	*store.Memory
 	delay time.Duration
 }
 
 func (s farStore) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
 	time.Sleep(s.delay)
-	return s.memoryStore.Put(ctx, key, value, condition)
+	return s.Memory.Put(ctx, key, value, condition)
 }
 
 func (s farStore) Get(ctx context.Context, key string) (platform.Object, error) {
 	time.Sleep(s.delay)
-	return s.memoryStore.Get(ctx, key)
+	return s.Memory.Get(ctx, key)
 }
 
 func TestClaimedKeyRunsOnce(t *testing.T) {
-	store := newStore()
+	memory := &store.Memory{}
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	claims := &ticket.Claims{
-		Store: store,
+		Store: memory,
 		Clock: func() time.Time { return now },
 	}
-	store.loseNext = true
+	memory.SetFaults(store.Faults{
+		LoseReplies: 1,
+	})
 	decision, err := claims.Admit(t.Context(), "escuela", "order-1")
 	require.NoError(t, err)
 	require.IsType(t, &ticket.Claimed{}, decision, "the write took effect though its reply was lost")
@@ -175,7 +73,9 @@
 	require.NoError(t, err)
 	require.IsType(t, &ticket.Claimed{}, other)
 
-	store.setDown(true)
+	memory.SetFaults(store.Faults{
+		Down: true,
+	})
 	_, err = claims.Admit(t.Context(), "escuela", "order-2")
 	var unclear *ticket.ClaimError
 	require.ErrorAs(t, err, &unclear)
@@ -183,7 +83,7 @@
 	var wrong *ticket.KeyError
 	require.ErrorAs(t, err, &wrong)
 
-	store.setDown(false)
+	memory.SetFaults(store.Faults{})
 	now = now.Add(25 * time.Hour)
 	swept, err := claims.Sweep(t.Context(), 24*time.Hour)
 	require.NoError(t, err)
@@ -212,12 +112,14 @@
 	downTo     = 2000
 )
 
-func compare(store *memoryStore, random *rand.Rand, admit admitter) comparison {
+func compare(memory *store.Memory, random *rand.Rand, admit admitter) comparison {
 	var c comparison
 	var waits []time.Duration
 	for request := range compared {
 		isDown := request >= downFrom && request < downTo
-		store.setDown(isDown)
+		memory.SetFaults(store.Faults{
+			Down: isDown,
+		})
 		host := request % hostCount
 		if random.IntN(repeatEach) == 0 {
 			// The first try's answer was lost; this one goes elsewhere.
@@ -236,7 +138,7 @@
 		waits = append(waits, time.Since(start))
 	}
 	slices.Sort(waits)
-	c.Writes = store.countWrites()
+	c.Writes = countWrites(memory)
 	c.Median, c.P99 = waits[len(waits)/2], waits[len(waits)*99/100]
 	return c
 }
@@ -245,13 +147,13 @@
 // conditional create for each, and through neither, in virtual time.
 func TestTicketsAgainstClaims(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		tickets := compare(newStore(), newRandom(), admitByTicket(t))
-		store := newStore()
+		tickets := compare(&store.Memory{}, newRandom(), admitByTicket(t))
+		memory := &store.Memory{}
 		var settled sync.WaitGroup
-		claims := compare(store, newRandom(), admitByClaim(t, store, &settled))
+		claims := compare(memory, newRandom(), admitByClaim(t, memory, &settled))
 		settled.Wait()
-		claims.Writes = store.countWrites()
-		neither := compare(newStore(), newRandom(), func(int, int) bool { return true })
+		claims.Writes = countWrites(memory)
+		neither := compare(&store.Memory{}, newRandom(), func(int, int) bool { return true })
 		t.Logf("tickets: %+v", tickets)
 		t.Logf("claims: %+v", claims)
 		t.Logf("neither: %+v", neither)
@@ -264,6 +166,12 @@
 	})
 }
 
+// countWrites counts the writes that the store was asked for.
+func countWrites(memory *store.Memory) int {
+	calls := memory.Calls()
+	return int(calls.Put + calls.Delete)
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 // admitByTicket gives each request a name of the host that it goes to first.
@@ -293,12 +201,12 @@
 }
 
 // admitByClaim has the store in the region of the first host.
-func admitByClaim(t *testing.T, store *memoryStore, settled *sync.WaitGroup) admitter {
+func admitByClaim(t *testing.T, memory *store.Memory, settled *sync.WaitGroup) admitter {
 	return func(host, request int) bool {
 		claims := &ticket.Claims{
 			Store: farStore{
-				memoryStore: store,
-				delay:       roundTrip[host == 0],
+				Memory: memory,
+				delay:  roundTrip[host == 0],
 			},
 		}
 		decision, err := claims.Admit(t.Context(), "", fmt.Sprint("order-", request))
