Move the network in memory to a stand-in of its own; drop more kinds of requests

**Cause** Other parts need connections inside testing/synctest as well, and the drop test left out kinds of requests that net/http replays.

**Change** Package internal/standin/network. The drop test combines 3 methods, empty and full bodies, keys and routes.

--- a/admission/entry_test.go
+++ b/admission/entry_test.go
@@ -39,13 +39,13 @@
 		index:   i,
 		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
 		client: &exchange.Client{
-			Dial:          w.network.dial,
+			Dial:          w.network.Dial,
 			AnswerTimeout: 2 * time.Second,
 			Violated:      func(exchange.Violation) { w.violations.Add(1) },
 		},
 		plain: &http.Client{
 			Transport: &http.Transport{
-				DialContext: w.network.dial,
+				DialContext: w.network.Dial,
 			},
 			Timeout: 2 * time.Second,
 		},
@@ -63,7 +63,7 @@
 	e.sender = &retry.Sender{
 		Send: e.send,
 	}
-	e.server = w.network.serve(w.t, e.address, e)
+	e.server = w.serve(e.address, e)
 	w.mu.Lock()
 	w.entries[i] = e
 	w.mu.Unlock()
--- a/admission/fleet_test.go
+++ b/admission/fleet_test.go
@@ -19,6 +19,7 @@
 
 	"trefoilline.example/trefoilline/header"
 	"trefoilline.example/trefoilline/internal/standin/backend"
+	"trefoilline.example/trefoilline/internal/standin/network"
 	"trefoilline.example/trefoilline/internal/standin/store"
 	"trefoilline.example/trefoilline/ticket"
 )
@@ -39,7 +40,7 @@
 type world struct {
 	t        *testing.T
 	naive    bool
-	network  *network
+	network  *network.Network
 	store    *store.Memory
 	backends []*backend.Server
 	mu       sync.Mutex
@@ -56,6 +57,17 @@
 	reruns, falseNotRun, wrongAnswers int
 }
 
+// serve starts a server; closing it cuts all its connections.
+func (w *world) serve(address netip.AddrPort, handler http.Handler) *http.Server {
+	listener, err := w.network.Listen(address)
+	require.NoError(w.t, err)
+	server := &http.Server{
+		Handler: handler,
+	}
+	go func() { _ = server.Serve(listener) }()
+	return server
+}
+
 func backendAddress(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i)}), 80)
 }
@@ -124,37 +136,24 @@
 		backend.DropAfter,
 		backend.DropInAnswer,
 	}
+	f := backend.Faults{}
 	switch w.intn(9) {
 	case 0:
-		return backend.Faults{
-			Draining: true,
-		}
+		f.Draining = true
 	case 1:
-		return backend.Faults{
-			ShedAll: true,
-		}
+		f.ShedAll = true
 	case 2:
-		return backend.Faults{
-			Silence: true,
-		}
+		f.Silence = true
 	case 3:
-		return backend.Faults{
-			Crossed: true,
-		}
+		f.Crossed = true
 	case 4:
-		return backend.Faults{
-			Late: backend.Duration(time.Duration(w.intn(4000)) * time.Millisecond),
-		}
+		f.Late = backend.Duration(time.Duration(w.intn(4000)) * time.Millisecond)
 	case 5, 6:
-		return backend.Faults{
-			Drop: drops[w.intn(len(drops))],
-		}
+		f.Drop = drops[w.intn(len(drops))]
 	case 7:
-		return backend.Faults{
-			Crashed: true,
-		}
+		f.Crashed = true
 	}
-	return backend.Faults{}
+	return f
 }
 
 // runs counts over all backend servers how often a payment took effect.
@@ -172,7 +171,7 @@
 func (w *world) caller(index int) {
 	client := &http.Client{
 		Transport: &http.Transport{
-			DialContext: w.network.dial,
+			DialContext: w.network.Dial,
 		},
 		Timeout: 3 * time.Second,
 	}
@@ -244,7 +243,7 @@
 		w := &world{
 			t:       t,
 			naive:   naive,
-			network: newNetwork(),
+			network: &network.Network{},
 			store:   &store.Memory{},
 			random:  rand.New(rand.NewPCG(seed, 0)),
 			entries: make([]*entry, hosts),
@@ -255,7 +254,7 @@
 			w.backends = append(w.backends, &backend.Server{
 				ServiceTime: 20 * time.Millisecond,
 			})
-			closing = append(closing, w.network.serve(t, backendAddress(i), w.backends[i]))
+			closing = append(closing, w.serve(backendAddress(i), w.backends[i]))
 		}
 		for i := range hosts {
 			w.start(i)
@@ -308,15 +307,14 @@
 
 // add sums the figures of two runs.
 func (f figures) add(g figures) figures {
-	return figures{
-		sends:        f.sends + g.sends,
-		answered:     f.answered + g.answered,
-		notRun:       f.notRun + g.notRun,
-		unknown:      f.unknown + g.unknown,
-		reruns:       f.reruns + g.reruns,
-		falseNotRun:  f.falseNotRun + g.falseNotRun,
-		wrongAnswers: f.wrongAnswers + g.wrongAnswers,
-	}
+	f.sends += g.sends
+	f.answered += g.answered
+	f.notRun += g.notRun
+	f.unknown += g.unknown
+	f.reruns += g.reruns
+	f.falseNotRun += g.falseNotRun
+	f.wrongAnswers += g.wrongAnswers
+	return f
 }
 
 func TestPaymentsRunAtMostOnceUnderFaults(t *testing.T) {
--- a/exchange/drop_test.go
+++ b/exchange/drop_test.go
@@ -23,32 +23,25 @@
 	idempotent bool
 }
 
-var kinds = map[string]kind{
-	"post": {
-		method: http.MethodPost,
-		body:   bytes.Repeat([]byte("x"), 1000),
-	},
-	"post-with-key": {
-		method: http.MethodPost,
-		body:   bytes.Repeat([]byte("x"), 1000),
-		key:    "order-1",
-	},
-	"empty-post-with-key": {
-		method: http.MethodPost,
-		key:    "order-1",
-	},
-	"get-once": {
-		method: http.MethodGet,
-	},
-	"get": {
-		method:     http.MethodGet,
-		idempotent: true,
-	},
-	"idempotent-empty-post-with-key": {
-		method:     http.MethodPost,
-		key:        "order-1",
-		idempotent: true,
-	},
+// kinds combines methods, bodies, keys and routes.
+func kinds() map[string]kind {
+	all := make(map[string]kind)
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		for _, size := range []int{0, 1000} {
+			for _, key := range []string{"", "order-1"} {
+				for _, idempotent := range []bool{false, true} {
+					name := fmt.Sprintf("%s-%d-%s-%t", method, size, key, idempotent)
+					all[name] = kind{
+						method:     method,
+						body:       bytes.Repeat([]byte("x"), size),
+						key:        key,
+						idempotent: idempotent,
+					}
+				}
+			}
+		}
+	}
+	return all
 }
 
 var dropPoints = []backend.DropPoint{
@@ -75,7 +68,7 @@
 // before, and has it dropped once at each point.
 func measureDrops(t *testing.T, send sendFunc) dropFigures {
 	var f dropFigures
-	for kindName, k := range kinds {
+	for kindName, k := range kinds() {
 		for _, point := range dropPoints {
 			server := &backend.Server{}
 			address := start(t, server)
@@ -161,7 +154,7 @@
 	require.Positive(t, naive.falseNotRun)
 	require.Positive(t, naive.falseWhole)
 	require.Equal(t, dropFigures{
-		sent: len(kinds) * len(dropPoints),
+		sent: len(kinds()) * len(dropPoints),
 	}, gated)
 }
 
