Publish the operators' table whole and verify teams' keys

Cause: operators need a table that a spreadsheet opens, that is in force everywhere or nowhere, and keys that stop working for good once withdrawn.

Change: package table reads, checks and writes the CSV, compares and merges tables, publishes versions and reads them whole; package team issues and withdraws keys and verifies them in a view that is merged with peers. Parts are named by their content, so that versions share what an edit left alone.

--- /dev/null
+++ b/table/attempt.go
@@ -0,0 +1,236 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// attempt is the publishing of one edit.
+type attempt struct {
+	publisher *Publisher
+	edit      Edit
+	content   Sum
+	published time.Time
+	// pending is the write of the head that was sent and whose outcome is not
+	// known, nil for none.
+	pending *pendingWrite
+}
+
+// pendingWrite is a write that may still take effect, as long as the head stays
+// at the store's version that it is conditional on.
+type pendingWrite struct {
+	condition platform.Version
+}
+
+// storedHead is the head with the store's version of it, zero if absent.
+type storedHead struct {
+	head   Head
+	stored platform.Version
+}
+
+func (a *attempt) run(ctx context.Context) (Receipt, error) {
+	var last error
+	for try := range MaxAttempts {
+		if err := pause(ctx, try); err != nil {
+			return Receipt{}, a.failure(err)
+		}
+		receipt, again, err := a.try(ctx)
+		if !again {
+			return receipt, err
+		}
+		last = err
+	}
+	return Receipt{}, a.failure(last)
+}
+
+// try reads the head and writes the next one. It says whether trying again can
+// help.
+func (a *attempt) try(ctx context.Context) (Receipt, bool, error) {
+	current, err := a.readHead(ctx)
+	if err != nil {
+		return Receipt{}, worthRetry(err), a.failure(err)
+	}
+	if receipt, held, err := a.remembered(current.head); held || err != nil {
+		return receipt, false, err
+	}
+	if a.pending != nil && a.pending.condition != current.stored {
+		// The head moved on without this edit; a write that is conditional on the
+		// head before can no longer happen.
+		a.pending = nil
+	}
+	next, err := a.rebase(ctx, current.head)
+	if err != nil {
+		return Receipt{}, worthRetry(err), err
+	}
+	head, err := a.writeVersion(ctx, current.head, next)
+	if err != nil {
+		return Receipt{}, worthRetry(err), a.failure(err)
+	}
+	if err := a.writeHead(ctx, current, head); err != nil {
+		return Receipt{}, worthRetry(err), a.failure(err)
+	}
+	return Receipt{
+		Version: head.Version,
+		Newest:  head.Version,
+	}, false, nil
+}
+
+// failure says whether the edit may have been published.
+func (a *attempt) failure(cause error) error {
+	var unknown *UnknownOutcomeError
+	var refused *NotPublishedError
+	if errors.As(cause, &unknown) || errors.As(cause, &refused) {
+		return cause
+	}
+	if a.pending != nil {
+		return &UnknownOutcomeError{
+			Edit:  a.edit.ID,
+			Cause: cause,
+		}
+	}
+	return &NotPublishedError{
+		Edit:  a.edit.ID,
+		Cause: cause,
+	}
+}
+
+// worthRetry says whether the store may answer differently next time. A
+// conflict on the head means that somebody else was faster: reading again
+// decides.
+func worthRetry(err error) bool {
+	var conflict *platform.ConflictError
+	var unreached *platform.UnreachedError
+	var unknown *platform.UnknownOutcomeError
+	return errors.As(err, &conflict) || errors.As(err, &unreached) || errors.As(err, &unknown)
+}
+
+// pause waits before each try but the first.
+func pause(ctx context.Context, try int) error {
+	if try == 0 {
+		return nil
+	}
+	timer := time.NewTimer(FirstRetryDelay << (try - 1))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+func (a *attempt) readHead(ctx context.Context) (storedHead, error) {
+	object, err := a.publisher.Store.Get(ctx, HeadKey)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return storedHead{}, nil
+	}
+	if err != nil {
+		return storedHead{}, err
+	}
+	head, err := decodeHead(object.Value)
+	return storedHead{
+		head:   head,
+		stored: object.Version,
+	}, err
+}
+
+// remembered finds the edit among those that the head remembers.
+func (a *attempt) remembered(head Head) (Receipt, bool, error) {
+	for _, e := range head.Edits {
+		if e.Edit != a.edit.ID {
+			continue
+		}
+		if e.Content != a.content {
+			return Receipt{}, false, &EditReusedError{
+				Edit:    e.Edit,
+				Version: e.Version,
+			}
+		}
+		return Receipt{
+			Version: e.Version,
+			Held:    true,
+			Newest:  head.Version,
+		}, true, nil
+	}
+	return Receipt{}, false, nil
+}
+
+// rebase returns the table to publish over the head: the edit's own if the
+// head is its base, else the merged one.
+func (a *attempt) rebase(ctx context.Context, head Head) (Table, error) {
+	if head.Version == a.edit.Base {
+		return a.edit.Table, nil
+	}
+	base, current, err := a.both(ctx, head)
+	if err != nil {
+		return Table{}, a.failure(err)
+	}
+	if a.edit.Merge {
+		return Merge(base, a.edit.Table, current)
+	}
+	return Table{}, &ConflictError{
+		Base:    a.edit.Base,
+		Current: head.Version,
+		Ours:    Compare(base, a.edit.Table),
+		Theirs:  Compare(base, current),
+	}
+}
+
+// both reads the edit's base and the version in force.
+func (a *attempt) both(ctx context.Context, head Head) (base, current Table, err error) {
+	if head.Version > 0 {
+		reader := Reader{}
+		snapshot, err := reader.LoadHead(ctx, a.publisher.Store, head)
+		if err != nil {
+			return Table{}, Table{}, err
+		}
+		current = snapshot.Table
+	}
+	if a.edit.Base > 0 {
+		snapshot, err := ReadVersion(ctx, a.publisher.Store, a.edit.Base)
+		if err != nil {
+			return Table{}, Table{}, err
+		}
+		base = snapshot.Table
+	}
+	return base, current, nil
+}
+
+func (a *attempt) writeHead(ctx context.Context, current storedHead, head Head) error {
+	content, err := json.Marshal(head)
+	if err != nil {
+		return &EncodeError{
+			Cause: err,
+		}
+	}
+	_, err = a.publisher.Store.Put(ctx, HeadKey, content, headCondition(current))
+	if err != nil && !changedNothing(err) {
+		a.pending = &pendingWrite{
+			condition: current.stored,
+		}
+	}
+	return err
+}
+
+// changedNothing says whether the store's error rules out that the write took
+// effect.
+func changedNothing(err error) bool {
+	var conflict *platform.ConflictError
+	var unreached *platform.UnreachedError
+	var refused *platform.RefusedError
+	return errors.As(err, &conflict) || errors.As(err, &unreached) || errors.As(err, &refused)
+}
+
+func headCondition(current storedHead) platform.Condition {
+	if current.stored == 0 {
+		return platform.IfAbsent{}
+	}
+	return platform.IfVersion{
+		Version: current.stored,
+	}
+}
--- /dev/null
+++ b/table/errors.go
@@ -0,0 +1,116 @@
+package table
+
+import (
+	"fmt"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// EncodeError reports that an object could not be encoded.
+type EncodeError struct {
+	Cause error
+}
+
+func (e *EncodeError) Error() string { return "encoding the table: " + e.Cause.Error() }
+
+func (e *EncodeError) Unwrap() error { return e.Cause }
+
+// TooLargeError reports a part over the store's limit.
+type TooLargeError struct {
+	// Size is in bytes.
+	Size int
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("a part of the table has %d bytes; accepted: up to %d", e.Size, platform.MaxValueSize)
+}
+
+// CorruptError reports an object of the store whose content is not what its
+// name or the head promise.
+type CorruptError struct {
+	Key   string
+	Cause error
+}
+
+func (e *CorruptError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("object %q does not hold what its sum promises", e.Key)
+	}
+	return fmt.Sprintf("object %q cannot be read: %v", e.Key, e.Cause)
+}
+
+func (e *CorruptError) Unwrap() error { return e.Cause }
+
+// NoTableError reports that no table has been published.
+type NoTableError struct{}
+
+func (e *NoTableError) Error() string { return "no table has been published" }
+
+// NoVersionError reports that there is no such version.
+type NoVersionError struct {
+	Version Version
+	Newest  Version
+}
+
+func (e *NoVersionError) Error() string {
+	return fmt.Sprintf("there is no version %d; accepted: 1 to %d", e.Version, e.Newest)
+}
+
+// ConflictError reports that the table has changed since the version that the
+// edit started from; nothing was published.
+type ConflictError struct {
+	Base    Version
+	Current Version
+	// Ours are the changes of the edit, Theirs what was published meanwhile.
+	Ours   []Change
+	Theirs []Change
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("the edit starts from version %d, the table is at version %d: the edit changes %d rows, others changed %d",
+		e.Base, e.Current, len(e.Ours), len(e.Theirs))
+}
+
+// EditReusedError reports an identifier that an earlier edit of another
+// content has; nothing was published.
+type EditReusedError struct {
+	Edit    EditID
+	Version Version
+}
+
+func (e *EditReusedError) Error() string {
+	return fmt.Sprintf("edit %q has already made version %d, with another content", e.Edit, e.Version)
+}
+
+// NoEditError reports an edit without an identifier.
+type NoEditError struct{}
+
+func (e *NoEditError) Error() string {
+	return "the edit has no identifier; accepted: any text that no other edit has"
+}
+
+// UnknownOutcomeError reports that the edit may or may not have been
+// published. Publishing it again under the same identifier is safe.
+type UnknownOutcomeError struct {
+	Edit  EditID
+	Cause error
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("edit %q may have been published, send it again under the same identifier: %v", e.Edit, e.Cause)
+}
+
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// NotPublishedError reports that the store did not let the edit through;
+// nothing was published.
+type NotPublishedError struct {
+	Edit  EditID
+	Cause error
+}
+
+func (e *NotPublishedError) Error() string {
+	return fmt.Sprintf("edit %q was not published: %v", e.Edit, e.Cause)
+}
+
+func (e *NotPublishedError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/table/history.go
@@ -0,0 +1,67 @@
+package table
+
+import "context"
+
+// History returns the manifests of the latest versions, the newest first, at
+// most limit of them; zero means all. Each costs one read.
+func History(ctx context.Context, source Getter, limit int) ([]Manifest, error) {
+	var manifests []Manifest
+	err := walk(ctx, source, func(m Manifest, _ Sum) bool {
+		manifests = append(manifests, m)
+		return limit == 0 || len(manifests) < limit
+	})
+	return manifests, err
+}
+
+// ReadVersion returns an earlier version whole. Errors are those of the
+// source, a [NoTableError] or a [NoVersionError].
+func ReadVersion(ctx context.Context, source Getter, version Version) (*Snapshot, error) {
+	var newest Version
+	var found Sum
+	err := walk(ctx, source, func(m Manifest, sum Sum) bool {
+		newest = max(newest, m.Version)
+		if m.Version == version {
+			found = sum
+		}
+		return m.Version > version
+	})
+	if err != nil {
+		return nil, err
+	}
+	if found == "" {
+		return nil, &NoVersionError{
+			Version: version,
+			Newest:  newest,
+		}
+	}
+	reader := Reader{}
+	return reader.load(ctx, source, Head{
+		Version:  version,
+		Manifest: found,
+	})
+}
+
+// walk visits the manifests from the newest to the oldest, until the visitor
+// returns false.
+func walk(ctx context.Context, source Getter, visit func(Manifest, Sum) bool) error {
+	content, err := getHead(ctx, source)
+	if err != nil {
+		return err
+	}
+	head, err := decodeHead(content)
+	if err != nil {
+		return err
+	}
+	version, sum := head.Version, head.Manifest
+	for sum != "" {
+		_, m, err := getManifest(ctx, source, version, sum)
+		if err != nil {
+			return err
+		}
+		if !visit(m, sum) {
+			return nil
+		}
+		version, sum = version-1, m.Previous
+	}
+	return nil
+}
--- /dev/null
+++ b/table/read.go
@@ -0,0 +1,231 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"golang.org/x/sync/errgroup"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// ParallelReads is how many parts a reader asks for at once.
+const ParallelReads = 8
+
+// Reader loads versions of the table, each whole or not at all, and asks only
+// for the parts that the version loaded before did not have. The zero value is
+// ready; it is not safe for concurrent use.
+type Reader struct {
+	last *Snapshot
+}
+
+// Load returns the version in force. Errors are those of the source, a
+// [NoTableError] if nothing has been published, or a [CorruptError].
+func (r *Reader) Load(ctx context.Context, source Getter) (*Snapshot, error) {
+	content, err := getHead(ctx, source)
+	if err != nil {
+		return nil, err
+	}
+	head, err := decodeHead(content)
+	if err != nil {
+		return nil, err
+	}
+	return r.LoadHead(ctx, source, head)
+}
+
+// LoadHead returns the version that the head names, for callers that have
+// learned of the head by a watch.
+func (r *Reader) LoadHead(ctx context.Context, source Getter, head Head) (*Snapshot, error) {
+	if r.last != nil && r.last.Head.Manifest == head.Manifest {
+		return r.last, nil
+	}
+	snapshot, err := r.load(ctx, source, head)
+	if err != nil {
+		return nil, err
+	}
+	r.last = snapshot
+	return snapshot, nil
+}
+
+func getHead(ctx context.Context, source Getter) ([]byte, error) {
+	object, err := source.Get(ctx, HeadKey)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return nil, &NoTableError{}
+	}
+	return object.Value, err
+}
+
+// ParseHead reads the content of the object at [HeadKey]. Errors are a
+// [CorruptError].
+func ParseHead(content []byte) (Head, error) { return decodeHead(content) }
+
+func decodeHead(content []byte) (Head, error) {
+	var head Head
+	if err := json.Unmarshal(content, &head); err != nil {
+		return Head{}, &CorruptError{
+			Key:   HeadKey,
+			Cause: err,
+		}
+	}
+	if head.Version == 0 || head.Manifest == "" {
+		return Head{}, &CorruptError{
+			Key: HeadKey,
+		}
+	}
+	return head, nil
+}
+
+func (r *Reader) load(ctx context.Context, source Getter, head Head) (*Snapshot, error) {
+	content, manifest, err := getManifest(ctx, source, head.Version, head.Manifest)
+	if err != nil {
+		return nil, err
+	}
+	s := &Snapshot{
+		Head:     head,
+		Manifest: manifest,
+		manifest: content,
+	}
+	if s.head, err = json.Marshal(head); err != nil {
+		return nil, &EncodeError{
+			Cause: err,
+		}
+	}
+	if s.first, err = getContent(ctx, source, PartKey(manifest.Parts[0]), manifest.Parts[0]); err != nil {
+		return nil, err
+	}
+	first, err := decodePart(PartKey(manifest.Parts[0]), s.first)
+	if err != nil {
+		return nil, err
+	}
+	groups, err := r.groups(ctx, source, manifest.Parts[1:])
+	if err != nil {
+		return nil, err
+	}
+	s.Table = Table{
+		Version: head.Version,
+		Regions: first.Regions,
+		Routes:  first.Routes,
+		Teams:   first.Teams,
+		Links:   first.Links,
+		Drains:  first.Drains,
+	}
+	s.join(groups)
+	if len(s.Table.Blocks) != manifest.Blocks {
+		return nil, &CorruptError{
+			Key: ManifestKey(head.Version, head.Manifest),
+		}
+	}
+	return s, nil
+}
+
+// getManifest reads a manifest and checks that it is the one that was named.
+func getManifest(ctx context.Context, source Getter, version Version, sum Sum) ([]byte, Manifest, error) {
+	key := ManifestKey(version, sum)
+	content, err := getContent(ctx, source, key, sum)
+	if err != nil {
+		return nil, Manifest{}, err
+	}
+	var m Manifest
+	if err := json.Unmarshal(content, &m); err != nil {
+		return nil, Manifest{}, &CorruptError{
+			Key:   key,
+			Cause: err,
+		}
+	}
+	if m.Version != version || len(m.Parts) == 0 {
+		return nil, Manifest{}, &CorruptError{
+			Key: key,
+		}
+	}
+	return content, m, nil
+}
+
+// getContent reads an object and checks it against its sum.
+func getContent(ctx context.Context, source Getter, key string, sum Sum) ([]byte, error) {
+	object, err := source.Get(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if sumOf(object.Value) != sum {
+		return nil, &CorruptError{
+			Key: key,
+		}
+	}
+	return object.Value, nil
+}
+
+func decodePart(key string, content []byte) (Part, error) {
+	var p Part
+	if err := json.Unmarshal(content, &p); err != nil {
+		return Part{}, &CorruptError{
+			Key:   key,
+			Cause: err,
+		}
+	}
+	return p, nil
+}
+
+// blockGroup is a part with blocks, by its sum.
+type blockGroup struct {
+	sum    Sum
+	blocks []ClientBlock
+}
+
+// groups returns the parts with blocks, those of the last snapshot without a
+// call.
+func (r *Reader) groups(ctx context.Context, source Getter, sums []Sum) ([]blockGroup, error) {
+	groups := make([]blockGroup, len(sums))
+	calls, ctx := errgroup.WithContext(ctx)
+	calls.SetLimit(ParallelReads)
+	for i, sum := range sums {
+		groups[i].sum = sum
+		if blocks, held := r.held(sum); held {
+			groups[i].blocks = blocks
+			continue
+		}
+		calls.Go(func() error {
+			content, err := getContent(ctx, source, PartKey(sum), sum)
+			if err != nil {
+				return err
+			}
+			part, err := decodePart(PartKey(sum), content)
+			groups[i].blocks = part.Blocks
+			return err
+		})
+	}
+	return groups, calls.Wait()
+}
+
+func (r *Reader) held(sum Sum) ([]ClientBlock, bool) {
+	if r.last == nil {
+		return nil, false
+	}
+	place, held := r.last.groups[sum]
+	return r.last.Table.Blocks[place.from:place.to], held
+}
+
+// join makes one list of the groups. All blocks of a region share one copy of
+// its name, so that a large table stays small in memory.
+func (s *Snapshot) join(groups []blockGroup) {
+	names := make(map[string]string, len(s.Table.Regions))
+	for _, r := range s.Table.Regions {
+		names[r.Name] = r.Name
+	}
+	s.groups = make(map[Sum]blockRange, len(groups))
+	s.Table.Blocks = make([]ClientBlock, 0, s.Manifest.Blocks)
+	for _, g := range groups {
+		from := len(s.Table.Blocks)
+		for _, b := range g.blocks {
+			if name, known := names[b.Region]; known {
+				b.Region = name
+			}
+			s.Table.Blocks = append(s.Table.Blocks, b)
+		}
+		s.groups[g.sum] = blockRange{
+			from: from,
+			to:   len(s.Table.Blocks),
+		}
+	}
+}
--- a/table/table.go
+++ b/table/table.go
@@ -3,12 +3,33 @@
 route's traffic is weighed across regions, what each team may use, the limits
 between regions, and the drains on schedule.
 
+A table is edited as a CSV file and published as a new version. A version never
+changes: its parts are named by their content, and one object, the head, names
+the version in force. A reader therefore sees a whole version or none, and two
+operators cannot overwrite each other unawares.
+
 # Usage
 
 	edited, err := table.ParseCSV(file)
 	if err != nil {
-		return err // names the row, the column, the value and what is accepted
+		return err // names each row, column and value and what is accepted
+	}
+	publisher := table.Publisher{
+		Store: store,
+	}
+	receipt, err := publisher.Publish(ctx, table.Edit{
+		ID:    "2027-01-31 drain of accra",
+		Base:  edited.Version,
+		Table: edited,
+	})
+
+A host loads versions and keeps the highest:
+
+	snapshot, err := reader.Load(ctx, store) // or a peer's snapshot
+	if err == nil {
+		follower.Offer(snapshot)
 	}
+	inForce := follower.Current().Table
 */
 package table
 
--- /dev/null
+++ b/team/record.go
@@ -0,0 +1,50 @@
+package team
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// Prefix starts the keys of the store under which the records lie.
+const Prefix = "keys/"
+
+// Record is what the store holds of a key. A withdrawn record is a tombstone:
+// it stays, and stays withdrawn.
+type Record struct {
+	Hash   Hash      `json:"hash"`
+	Team   string    `json:"team"`
+	Note   string    `json:"note,omitempty"`
+	Issued time.Time `json:"issued"`
+	// Withdrawn is the time of the withdrawal, zero for a key that is good.
+	Withdrawn time.Time `json:"withdrawn,omitzero"`
+}
+
+// ObjectKey returns the key of the store under which a record lies.
+func ObjectKey(h Hash) string { return Prefix + h.String() }
+
+// ParseRecord reads an object of the store. Errors are a [CorruptError].
+func ParseRecord(object platform.Object) (Record, error) {
+	corrupt := func(cause error) error {
+		return &CorruptError{
+			ObjectKey: object.Key,
+			Cause:     cause,
+		}
+	}
+	hash, err := ParseHash(strings.TrimPrefix(object.Key, Prefix))
+	if err != nil {
+		return Record{}, corrupt(err)
+	}
+	var r Record
+	if err := json.Unmarshal(object.Value, &r); err != nil {
+		return Record{}, corrupt(err)
+	}
+	if r.Hash != hash {
+		return Record{}, corrupt(&MalformedHashError{
+			Text: r.Hash.String(),
+		})
+	}
+	return r, nil
+}
