--- /dev/null
+++ b/internal/elapsed/elapsed.go
@@ -0,0 +1,23 @@
+/*
+Package elapsed measures how much time has passed on a machine that may have
+been paused.
+
+A monotonic clock may stand still while a virtual machine is suspended, and a
+wall clock may be set back. [Between] takes the longer of the two, so that a
+bound on age errs towards "too old".
+
+# Usage
+
+	if elapsed.Between(confirmed, time.Now()) > bound {
+		return refuse()
+	}
+*/
+package elapsed
+
+import "time"
+
+// Between returns the time from one reading of the clock to a later one, by
+// the monotonic or the wall clock, whichever moved further.
+func Between(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
--- /dev/null
+++ b/lease/errors.go
@@ -0,0 +1,52 @@
+package lease
+
+import (
+	"fmt"
+	"time"
+)
+
+// HeldError reports that another holder has the lease.
+type HeldError struct {
+	Key  string
+	Term Term
+	// Retry is how long this candidate waits, at the least, before it may take
+	// over from a holder that doesn't renew.
+	Retry time.Duration
+}
+
+func (e *HeldError) Error() string {
+	return fmt.Sprintf("lease %q is held by %q under epoch %d; retry in %s", e.Key, e.Term.Holder, e.Term.Epoch, e.Retry)
+}
+
+// LapsedError reports that this candidate doesn't hold the lease, or no longer.
+type LapsedError struct {
+	Key string
+}
+
+func (e *LapsedError) Error() string {
+	return fmt.Sprintf("lease %q is not held here", e.Key)
+}
+
+// StaleEpochError reports a fenced write that a later epoch has shut out;
+// nothing was written.
+type StaleEpochError struct {
+	Key   string
+	Own   Epoch
+	Found Epoch
+}
+
+func (e *StaleEpochError) Error() string {
+	return fmt.Sprintf("object %q belongs to epoch %d, epoch %d may not write it", e.Key, e.Found, e.Own)
+}
+
+// RecordError reports a value in the store that can't be read.
+type RecordError struct {
+	Key   string
+	Cause error
+}
+
+func (e *RecordError) Error() string {
+	return fmt.Sprintf("value of %q can't be read: %v", e.Key, e.Cause)
+}
+
+func (e *RecordError) Unwrap() error { return e.Cause }
