Add the operators' command-line tool

Cause: operators need to publish the table, issue and withdraw keys and see what is in force, with exit codes that scripts can rely on.

Change: package internal/command has one file per command; cmd/trefoilline runs it. Table and keys go straight to the store; status, lookup, watch and measures ask entry hosts on connect-go with JSON. The same file applied again is the same edit, because its identifier is made from base and content.

Measured result: tests run the tool against the store's stand-in over HTTP, with lost answers, a store that is down, two operators and hosts that lag. One test failed first: waiting for hosts cut its first round of calls short and named laggards by address only; each round now has the calls' own bound.

--- /dev/null
+++ b/internal/command/key.go
@@ -0,0 +1,8 @@
+package command
+
+import "github.com/spf13/cobra"
+
+// newKey returns "trefoilline key".
+func newKey() *cobra.Command {
+	return group("key", "Issue, withdraw and show keys", newKeyIssue(), newKeyWithdraw(), newKeyList())
+}
--- /dev/null
+++ b/internal/command/table.go
@@ -0,0 +1,16 @@
+package command
+
+import "github.com/spf13/cobra"
+
+// newTable returns "trefoilline table".
+func newTable() *cobra.Command {
+	return group("table", "Read, check and publish the operators' table",
+		newTableGet(),
+		newTableCheck(),
+		newTableDiff(),
+		newTableApply(),
+		newTableHistory(),
+		newTableRestore(),
+		newTableStatus(),
+	)
+}
--- /dev/null
+++ b/internal/command/team.go
@@ -0,0 +1,8 @@
+package command
+
+import "github.com/spf13/cobra"
+
+// newTeam returns "trefoilline team".
+func newTeam() *cobra.Command {
+	return group("team", "Show teams", newTeamList())
+}
--- /dev/null
+++ b/internal/command/waiting.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// pollInterval is the pause between two rounds of asking the hosts.
+const pollInterval = 250 * time.Millisecond
+
+// waiting is whether, and how long, a command waits for a change to be in force
+// on every entry host.
+type waiting struct {
+	wanted bool
+	limit  time.Duration
+}
+
+func (w *waiting) add(c *cobra.Command) {
+	c.Flags().BoolVar(&w.wanted, "wait", false, "return once it is in force on every entry host")
+	c.Flags().DurationVar(&w.limit, "wait-limit", 30*time.Second, "how long to wait at most")
+}
+
+// until waits until the condition holds on every entry host. A host that does
+// not answer is waited for too: it may be serving.
+func (w *waiting) until(c *cobra.Command, what string, holds func(hostStatus) bool) error {
+	hosts, err := openHosts(c)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Context(), w.limit)
+	defer cancel()
+	for {
+		statuses := hosts.statuses(c.Context())
+		laggards := laggardsOf(statuses, holds)
+		if len(laggards) == 0 {
+			fmt.Fprintf(c.OutOrStdout(), "%s is in force on %d of %d hosts\n", what, len(statuses), len(statuses))
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &NotInForceError{
+				What:     what,
+				Laggards: laggards,
+			}
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func laggardsOf(statuses []hostStatus, holds func(hostStatus) bool) []string {
+	var laggards []string
+	for _, s := range statuses {
+		if s.Fault != "" || !holds(s) {
+			laggards = append(laggards, s.label())
+		}
+	}
+	return laggards
+}
--- a/table/write.go
+++ b/table/write.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/csv"
 	"io"
-	"maps"
 	"slices"
 	"strconv"
-	"strings"
 )
 
 // WriteError reports that a table could not be written out.
@@ -152,30 +150,4 @@
 	return cells
 }
 
-// Describe returns a row in words for people: its filled cells in the order of
-// the file.
-func Describe(row Row) string {
-	cells := cellsOf(row)
-	var words []string
-	for _, column := range columnNames[1:] {
-		if column == ColumnRate {
-			words = append(words, weightWords(cells)...)
-		}
-		if value := cells[column]; value != "" {
-			words = append(words, column+"="+value)
-		}
-	}
-	return string(row.Key().Kind) + " " + strings.Join(words, " ")
-}
-
-func weightWords(cells map[string]string) []string {
-	var words []string
-	for _, column := range slices.Sorted(maps.Keys(cells)) {
-		if strings.HasPrefix(column, WeightPrefix) {
-			words = append(words, column+"="+cells[column])
-		}
-	}
-	return words
-}
-
 func formatNumber(value float64) string { return strconv.FormatFloat(value, 'f', -1, 64) }
