Divide fleet-wide limits among hosts by epoch and short loans

Cause: a team's rate and burst, the link and shift caps and a region's slots hold over all hosts together, and every host decides alone.

Change: package share. An allocation in the store names the holders under an epoch; a part is usable for 8 s after the epoch was confirmed by a read of the store or, in an outage, by a majority of holders that promised no successor; a gain waits until that time is over everywhere; parts move as loans of at most 6 s that the lender gives up first.

--- /dev/null
+++ b/share/beat.go
@@ -0,0 +1,195 @@
+package share
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// peer is what is known of another host's newest process.
+type peer struct {
+	identity Identity
+	// stamp is the newest clock reading that it sent.
+	stamp time.Duration
+	// polled is when it was last asked for a beat.
+	polled time.Duration
+}
+
+// beats returns the requests for confirmations that are due.
+func (h *Holder) beats(now instant) []Envelope {
+	h.countPledges(now)
+	var envelopes []Envelope
+	for _, host := range h.confirmers(now) {
+		if host == h.Host {
+			continue
+		}
+		p := h.peer(host)
+		if now.fast-p.polled < BeatPeriod {
+			continue
+		}
+		p.polled = now.fast
+		envelopes = append(envelopes, h.beatTo(host, true, now))
+	}
+	return envelopes
+}
+
+func (h *Holder) peer(host string) *peer {
+	p, ok := h.peers[host]
+	if !ok {
+		p = &peer{
+			polled: never,
+		}
+		h.peers[host] = p
+	}
+	return p
+}
+
+// confirmers lists the hosts to ask for confirmations now: a deputy for an
+// ordinary host; all deputies for a deputy that can't read the store; a few
+// more for a host whose confirmation grows old.
+func (h *Holder) confirmers(now instant) []string {
+	deputies := h.epoch.deputies
+	if len(deputies) == 0 {
+		return h.anyLive(2)
+	}
+	fresh := now.fast-h.epoch.confirmedAt < staleBeat
+	if h.isDeputy() {
+		if now.fast-h.epoch.readAt < staleRead {
+			return nil
+		}
+		hosts := make([]string, len(deputies))
+		for place, deputy := range deputies {
+			hosts[place] = deputy.Host
+		}
+		return hosts
+	}
+	own := int(xxhash.Sum64String(h.Host) % uint64(len(deputies)))
+	hosts := []string{deputies[own].Host}
+	if fresh {
+		return hosts
+	}
+	for range 2 {
+		hosts = append(hosts, deputies[h.Rand.IntN(len(deputies))].Host)
+	}
+	return append(hosts, h.anyLive(1)...)
+}
+
+// anyLive picks hosts that the fleet believes alive.
+func (h *Holder) anyLive(number int) []string {
+	var hosts []string
+	for range number {
+		if len(h.live) > 0 {
+			hosts = append(hosts, h.live[h.Rand.IntN(len(h.live))].Host)
+		}
+	}
+	return hosts
+}
+
+func (h *Holder) beat(to string, reply bool, now instant) Beat {
+	p := h.peer(to)
+	b := Beat{
+		From:   h.identity,
+		Stamp:  now.fast,
+		Echo:   p.stamp,
+		EchoOf: p.identity.Incarnation,
+		Epoch:  h.epoch.allocation.Epoch,
+		Pledge: h.pledging(),
+		Age:    NoAge,
+		Reply:  reply,
+	}
+	if h.epoch.confirmedAt != never {
+		b.Age = now.fast - h.epoch.confirmedAt
+	}
+	if h.isDeputy() && now.fast-h.epoch.readAt >= staleRead {
+		b.Pledges = h.freshPledges(now)
+	}
+	return b
+}
+
+func (h *Holder) beatTo(host string, reply bool, now instant) Envelope {
+	return Envelope{
+		To:      host,
+		Message: h.beat(host, reply, now),
+	}
+}
+
+// freshPledges lists the pledges that this deputy heard itself.
+func (h *Holder) freshPledges(now instant) []Pledge {
+	var pledges []Pledge
+	for place, at := range h.epoch.heard {
+		if at != never && now.fast-at < staleBeat && place != h.epoch.place {
+			pledges = append(pledges, Pledge{
+				Place: place,
+				Age:   (now.fast - at).Truncate(time.Millisecond) + time.Millisecond,
+			})
+		}
+	}
+	return pledges
+}
+
+func (h *Holder) receiveBeat(b Beat, now instant) []Envelope {
+	p := h.peer(b.From.Host)
+	if b.From.Host == h.Host || b.From.Incarnation < p.identity.Incarnation {
+		return nil
+	}
+	if p.identity != b.From {
+		p.identity = b.From
+		p.stamp = b.Stamp
+	}
+	p.stamp = max(p.stamp, b.Stamp)
+	if b.Allocation != nil && b.Allocation.Epoch > h.epoch.allocation.Epoch {
+		h.adopt(*b.Allocation, now)
+	}
+	if b.EchoOf == h.identity.Incarnation && b.Epoch == h.epoch.allocation.Epoch {
+		h.learn(b, now)
+	}
+	return h.answerBeat(b, now)
+}
+
+func (h *Holder) answerBeat(b Beat, now instant) []Envelope {
+	own := h.epoch.allocation.Epoch
+	if b.Epoch > own {
+		return []Envelope{h.beatTo(b.From.Host, true, now)}
+	}
+	if !b.Reply {
+		return nil
+	}
+	answer := h.beat(b.From.Host, false, now)
+	if b.Epoch < own {
+		a := h.epoch.allocation
+		answer.Allocation = &a
+	}
+	return []Envelope{
+		{
+			To:      b.From.Host,
+			Message: answer,
+		},
+	}
+}
+
+// learn takes over what the sender knew. It knew it after it received the
+// stamp that it echoes, so an age counts from that stamp.
+func (h *Holder) learn(b Beat, now instant) {
+	if b.Echo > now.fast || b.Epoch == 0 {
+		return
+	}
+	if b.Age >= 0 {
+		h.confirmAt(b.Echo - b.Age)
+	}
+	if place := h.epoch.allocation.index(b.From); b.Pledge && place >= 0 {
+		h.epoch.heard[place] = max(h.epoch.heard[place], b.Echo)
+		h.pledgeAt(place, b.Echo)
+	}
+	for _, pledge := range b.Pledges {
+		if pledge.Age >= 0 {
+			h.pledgeAt(pledge.Place, b.Echo-pledge.Age)
+		}
+	}
+	h.countPledges(now)
+}
+
+func (h *Holder) pledgeAt(place int, at time.Duration) {
+	if place >= 0 && place < len(h.epoch.pledges) {
+		h.epoch.pledges[place] = max(h.epoch.pledges[place], at)
+	}
+}
--- /dev/null
+++ b/share/confirm.go
@@ -0,0 +1,143 @@
+package share
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// leastDeputies is how many hosts confirm epochs for the others in a small
+// fleet; in a large one the square root of its size does.
+const leastDeputies = 7
+
+// never is earlier than any time since the start.
+const never time.Duration = math.MinInt64 / 4
+
+// epochState is what the holder knows of the newest epoch.
+type epochState struct {
+	allocation Allocation
+	homes      homes
+	// deputies are the holders that read the store and confirm for the others.
+	deputies []Identity
+	// place is the holder's own place in the allocation, or -1.
+	place int
+	// adopted is when this process learned of the epoch, and wait how long a
+	// gain waits from then.
+	adopted time.Duration
+	wait    time.Duration
+	// first says that no epoch came before.
+	first bool
+	// confirmedAt is when the epoch is known to have been the newest; readAt
+	// is the same from this process's own read of the store.
+	confirmedAt time.Duration
+	readAt      time.Duration
+	// pledges is when each holder is known to have promised no successor.
+	// heard has only those that the holder told this process itself.
+	pledges []time.Duration
+	heard   []time.Duration
+	// promises are the proposals that this process consented to.
+	promises map[Identity]uint64
+	// withdrawn are the newest proposals that were given up.
+	withdrawn map[Identity]uint64
+}
+
+// confirmed says whether the holder may use its own parts.
+func (h *Holder) confirmed(now instant) bool {
+	return h.confirmedFor(now) > 0
+}
+
+// confirmedFor is how long the confirmation still lasts.
+func (h *Holder) confirmedFor(now instant) time.Duration {
+	if h.epoch.allocation.Epoch == 0 {
+		return 0
+	}
+	return max(0, h.epoch.confirmedAt+Lapse-now.fast)
+}
+
+// settled says whether all uses of earlier epochs have ended, so that another
+// epoch may follow. No process can then be two epochs behind and still confirmed.
+func (h *Holder) settled(now instant) bool {
+	return h.epoch.first || now.slow >= h.epoch.adopted+h.epoch.wait
+}
+
+// adopt takes over a newer allocation.
+func (h *Holder) adopt(a Allocation, now instant) {
+	confirmed := h.confirmed(now)
+	h.epoch = epochState{
+		allocation:  a,
+		homes:       newHomes(a),
+		deputies:    deputiesOf(a),
+		place:       a.index(h.identity),
+		adopted:     now.slow,
+		wait:        outlast(Lapse),
+		first:       a.Epoch == 1,
+		confirmedAt: never,
+		readAt:      never,
+		pledges:     slices.Repeat([]time.Duration{never}, len(a.Holders)),
+		heard:       slices.Repeat([]time.Duration{never}, len(a.Holders)),
+		promises:    make(map[Identity]uint64),
+		withdrawn:   make(map[Identity]uint64),
+	}
+	if h.proposal.epoch <= a.Epoch {
+		h.proposal = proposal{
+			number: h.proposal.number,
+		}
+	}
+	for _, b := range h.buckets {
+		b.homes = h.epoch.homes.of(b.limit.Name)
+		wait := h.epoch.wait + b.limit.overrun()
+		if h.epoch.first {
+			wait = 0
+		}
+		b.adopt(partOf(h.identity, b.homes), now, confirmed, wait)
+	}
+}
+
+// deputiesOf picks the same few holders in every epoch, as far as they remain.
+func deputiesOf(a Allocation) []Identity {
+	number := max(leastDeputies, int(math.Ceil(math.Sqrt(float64(len(a.Holders))))))
+	ranked := slices.Clone(a.Holders)
+	slices.SortStableFunc(ranked, func(x, y Identity) int {
+		first, second := mix(xxhash.Sum64String(x.Host)), mix(xxhash.Sum64String(y.Host))
+		if first < second {
+			return -1
+		}
+		return 1
+	})
+	return ranked[:min(number, len(ranked))]
+}
+
+func (h *Holder) isDeputy() bool { return slices.Contains(h.epoch.deputies, h.identity) }
+
+// pledging says whether this process holds the epoch and promised no
+// successor.
+func (h *Holder) pledging() bool {
+	return h.epoch.place >= 0 && len(h.epoch.promises) == 0
+}
+
+// confirmAt records that the epoch was the newest at this time.
+func (h *Holder) confirmAt(at time.Duration) {
+	h.epoch.confirmedAt = max(h.epoch.confirmedAt, at)
+}
+
+// countPledges takes the pledges together: the time at which enough holders had promised no successor
+// is a confirmation.
+func (h *Holder) countPledges(now instant) {
+	if h.epoch.allocation.Epoch == 0 {
+		return
+	}
+	if h.pledging() {
+		h.epoch.pledges[h.epoch.place] = now.fast
+	}
+	quorum := h.epoch.allocation.confirmQuorum()
+	if len(h.epoch.pledges) < quorum {
+		return
+	}
+	sorted := slices.Sorted(slices.Values(h.epoch.pledges))
+	at := sorted[len(sorted)-quorum]
+	if at != never {
+		h.confirmAt(at)
+	}
+}
--- /dev/null
+++ b/share/holder.go
@@ -0,0 +1,174 @@
+package share
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Holder is one host's view of the limits. Set the exported fields before the
+// first call. A Holder is safe for use by several goroutines.
+type Holder struct {
+	// Host is the name of the entry host.
+	Host string
+	// Incarnation tells the processes of a host apart; a later process has a
+	// larger one. Zero means the nanoseconds of the clock at the first call.
+	Incarnation uint64
+	// Exclusive says that this process holds the only address at which the
+	// fleet reaches the host, so that no earlier process of the host can hear
+	// any message. Such a process consents to successors of epochs that its
+	// predecessor held.
+	Exclusive bool
+	// Clock is the source of time; nil means time.Now.
+	Clock func() time.Time
+	// Rand is the source of chance; nil means a random seed.
+	Rand *rand.Rand
+
+	mutex    sync.Mutex
+	started  bool
+	start    time.Time
+	identity Identity
+	buckets  map[string]*bucket
+	// limits is the buckets in the order of the table.
+	limits  []string
+	live    []Identity
+	leaving bool
+
+	epoch    epochState
+	peers    map[string]*peer
+	proposal proposal
+	vouched  []Identity
+	sequence uint64
+	counts   map[string]*Count
+	totals   Totals
+	// violations counts what must never happen.
+	violations uint64
+}
+
+// open prepares a zero holder. The caller holds the mutex.
+func (h *Holder) open() {
+	if h.started {
+		return
+	}
+	h.started = true
+	if h.Clock == nil {
+		h.Clock = time.Now
+	}
+	if h.Rand == nil {
+		h.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	h.start = h.Clock()
+	if h.Incarnation == 0 {
+		h.Incarnation = uint64(h.start.UnixNano())
+	}
+	h.identity = Identity{
+		Host:        h.Host,
+		Incarnation: h.Incarnation,
+	}
+	h.buckets = make(map[string]*bucket)
+	h.peers = make(map[string]*peer)
+	h.counts = make(map[string]*Count)
+}
+
+// now reads the clock once for a whole decision.
+func (h *Holder) now() instant {
+	t := h.Clock()
+	slow := t.Sub(h.start)
+	wall := t.Round(0).Sub(h.start.Round(0))
+	return instant{
+		slow: slow,
+		fast: max(slow, wall),
+	}
+}
+
+func (h *Holder) lock() instant {
+	h.mutex.Lock()
+	h.open()
+	return h.now()
+}
+
+// Identity returns the name of this process.
+func (h *Holder) Identity() Identity {
+	h.lock()
+	defer h.mutex.Unlock()
+	return h.identity
+}
+
+// SetLimits takes the limits of the table in force. A limit that is new starts
+// without tokens; one that the table dropped grants no more.
+func (h *Holder) SetLimits(limits []Limit) {
+	now := h.lock()
+	defer h.mutex.Unlock()
+	named := make(map[string]struct{}, len(limits))
+	h.limits = h.limits[:0]
+	for _, limit := range limits {
+		if _, twice := named[limit.Name]; twice {
+			continue
+		}
+		named[limit.Name] = struct{}{}
+		h.limits = append(h.limits, limit.Name)
+		h.setLimit(limit, now)
+	}
+	for name, b := range h.buckets {
+		if _, ok := named[name]; !ok && !b.gone {
+			b.gone = true
+			b.removed = now.slow
+		}
+	}
+}
+
+func (h *Holder) setLimit(limit Limit, now instant) {
+	b, ok := h.buckets[limit.Name]
+	if !ok {
+		b = &bucket{
+			limit:  limit,
+			filled: now.slow,
+			demand: demand{
+				updated: now.slow,
+			},
+		}
+		h.buckets[limit.Name] = b
+		h.place(b, now)
+		return
+	}
+	confirmed := h.confirmed(now)
+	b.settle(now, confirmed)
+	b.gone = false
+	b.limit = limit
+	b.clip(b.usable(now, confirmed))
+}
+
+// place gives a new bucket its part of the epoch in force.
+func (h *Holder) place(b *bucket, now instant) {
+	b.homes = h.epoch.homes.of(b.limit.Name)
+	b.target = partOf(h.identity, b.homes)
+	b.raise = h.epoch.adopted + h.epoch.wait + b.limit.overrun()
+	if h.epoch.first || now.slow >= b.raise {
+		b.part = b.target
+	}
+}
+
+func partOf(identity Identity, homes []Identity) float64 {
+	for _, home := range homes {
+		if home == identity {
+			return 1 / float64(len(homes))
+		}
+	}
+	return 0
+}
+
+// SetLive takes the processes that the fleet believes alive and not leaving.
+// Only speed depends on it, never safety.
+func (h *Holder) SetLive(live []Identity) {
+	h.lock()
+	defer h.mutex.Unlock()
+	h.live = append(h.live[:0], live...)
+}
+
+// Leave makes the host start no new epoch. It still grants and lends until the
+// hosts that stay have left it out of theirs.
+func (h *Holder) Leave() {
+	h.lock()
+	defer h.mutex.Unlock()
+	h.leaving = true
+}
--- /dev/null
+++ b/share/propose.go
@@ -0,0 +1,230 @@
+package share
+
+import (
+	"slices"
+	"time"
+)
+
+// proposalBatch is how many proposals a host sends in one tick.
+const proposalBatch = 64
+
+// withdrawals is how often the end of a proposal is told.
+const withdrawals = 3
+
+// proposal is this process's attempt to write the next epoch.
+type proposal struct {
+	number  uint64
+	epoch   Epoch
+	started time.Duration
+	// sent is how many holders were asked in this round, and round when it
+	// began.
+	sent  int
+	round time.Duration
+	// consents has an entry for each holder.
+	consents []bool
+	// unknown says that a write may still take effect.
+	unknown bool
+	// next is what is written.
+	next Allocation
+	// withdraw is how often the end has still to be told.
+	withdraw int
+	// differs is when the live hosts first differed from the holders.
+	differs time.Duration
+	wanted  bool
+}
+
+func (h *Holder) consentsOf() int {
+	number := 0
+	for _, consent := range h.proposal.consents {
+		if consent {
+			number++
+		}
+	}
+	return number
+}
+
+// Vouch states that these processes have ended and can't run again, so that
+// their consent to a new epoch is not needed. The daemon says it of hosts that
+// an operator declared lost. A false statement can exceed the limits.
+func (h *Holder) Vouch(ended []Identity) {
+	h.lock()
+	defer h.mutex.Unlock()
+	h.vouched = append(h.vouched, ended...)
+}
+
+// propose starts, goes on with or ends this process's proposal.
+func (h *Holder) propose(now instant) []Envelope {
+	if h.proposal.withdraw > 0 {
+		return h.withdrawal()
+	}
+	if h.proposal.epoch != 0 {
+		return h.pursue(now)
+	}
+	if !h.mayPropose(now) {
+		return nil
+	}
+	h.proposal.number++
+	h.proposal.epoch = h.epoch.allocation.Epoch + 1
+	h.proposal.started = now.slow
+	h.proposal.round = now.slow
+	h.proposal.sent = 0
+	h.proposal.consents = make([]bool, len(h.epoch.allocation.Holders))
+	h.proposal.wanted = false
+	if h.epoch.place >= 0 {
+		h.epoch.promises[h.identity] = h.proposal.number
+		h.proposal.consents[h.epoch.place] = true
+	}
+	return h.pursue(now)
+}
+
+// mayPropose says whether the holders differ from the live hosts, the store
+// answers, the last epoch is settled, and no better placed host has acted.
+func (h *Holder) mayPropose(now instant) bool {
+	if h.epoch.allocation.Epoch == 0 || now.fast-h.epoch.readAt >= staleBeat {
+		return false
+	}
+	_, differs := Divide(h.epoch.allocation, h.live)
+	if !differs || h.leaving {
+		h.proposal.wanted = false
+		return false
+	}
+	if !h.proposal.wanted {
+		h.proposal.wanted = true
+		h.proposal.differs = now.slow
+	}
+	return h.settled(now) && now.slow-h.proposal.differs >= h.stagger()
+}
+
+// stagger is how long this host leaves the proposal to those before it.
+func (h *Holder) stagger() time.Duration {
+	rank := 0
+	for _, deputy := range h.epoch.deputies {
+		if deputy == h.identity {
+			break
+		}
+		if slices.Contains(h.live, deputy) {
+			rank++
+		}
+	}
+	return time.Duration(rank) * 2 * time.Second
+}
+
+// pursue asks the holders that have not consented yet.
+func (h *Holder) pursue(now instant) []Envelope {
+	if h.consentsReached() {
+		return nil
+	}
+	if now.slow-h.proposal.started >= proposalPeriod && !h.proposal.unknown {
+		h.abandon()
+		return nil
+	}
+	if h.proposal.sent >= len(h.proposal.consents) && now.slow-h.proposal.round >= time.Second {
+		h.proposal.sent = 0
+		h.proposal.round = now.slow
+	}
+	var envelopes []Envelope
+	for h.proposal.sent < len(h.proposal.consents) && len(envelopes) < proposalBatch {
+		place := h.proposal.sent
+		h.proposal.sent++
+		holder := h.epoch.allocation.Holders[place]
+		if slices.Contains(h.vouched, holder) {
+			h.proposal.consents[place] = true
+		}
+		if !h.proposal.consents[place] {
+			envelopes = append(envelopes, h.proposalTo(holder, false))
+		}
+	}
+	return envelopes
+}
+
+func (h *Holder) proposalTo(holder Identity, withdrawn bool) Envelope {
+	return Envelope{
+		To: holder.Host,
+		Message: Propose{
+			From:      h.identity,
+			To:        holder,
+			Epoch:     h.epoch.allocation.Epoch + 1,
+			Proposal:  h.proposal.number,
+			Withdrawn: withdrawn,
+		},
+	}
+}
+
+func (h *Holder) consentsReached() bool {
+	return h.proposal.epoch != 0 && h.consentsOf() >= h.epoch.allocation.consentQuorum()
+}
+
+// abandon gives the proposal up; no write of it can take effect any more.
+func (h *Holder) abandon() {
+	delete(h.epoch.promises, h.identity)
+	h.proposal = proposal{
+		number:   h.proposal.number,
+		withdraw: withdrawals,
+	}
+}
+
+// withdrawal tells the holders that the proposal was given up.
+func (h *Holder) withdrawal() []Envelope {
+	h.proposal.withdraw--
+	var envelopes []Envelope
+	for _, holder := range h.epoch.allocation.Holders {
+		if holder != h.identity {
+			envelopes = append(envelopes, h.proposalTo(holder, true))
+		}
+	}
+	return envelopes
+}
+
+// receivePropose promises to confirm the epoch no more, unless the proposal
+// was withdrawn.
+func (h *Holder) receivePropose(p Propose) []Envelope {
+	if p.Epoch != h.epoch.allocation.Epoch+1 || p.To.Host != h.Host {
+		return nil
+	}
+	if p.To != h.identity {
+		return h.consentForPredecessor(p)
+	}
+	if h.epoch.place < 0 || p.Proposal <= h.epoch.withdrawn[p.From] {
+		return nil
+	}
+	if p.Withdrawn {
+		h.epoch.withdrawn[p.From] = p.Proposal
+		if h.epoch.promises[p.From] <= p.Proposal {
+			delete(h.epoch.promises, p.From)
+		}
+		return nil
+	}
+	h.epoch.promises[p.From] = max(p.Proposal, h.epoch.promises[p.From])
+	return consentTo(p)
+}
+
+// consentForPredecessor answers for an earlier process of this host, which can
+// hear no message any more and so confirms nothing.
+func (h *Holder) consentForPredecessor(p Propose) []Envelope {
+	if !h.Exclusive || p.Withdrawn || p.To.Incarnation > h.identity.Incarnation {
+		return nil
+	}
+	return consentTo(p)
+}
+
+func consentTo(p Propose) []Envelope {
+	return []Envelope{
+		{
+			To: p.From.Host,
+			Message: Consent{
+				For:      p.To,
+				To:       p.From,
+				Epoch:    p.Epoch,
+				Proposal: p.Proposal,
+			},
+		},
+	}
+}
+
+func (h *Holder) receiveConsent(c Consent) {
+	place := h.epoch.allocation.index(c.For)
+	if c.To != h.identity || c.Epoch != h.proposal.epoch || c.Proposal != h.proposal.number || place < 0 {
+		return
+	}
+	h.proposal.consents[place] = true
+}
--- /dev/null
+++ b/share/tick.go
@@ -0,0 +1,70 @@
+package share
+
+import "time"
+
+// Tick does what is due and returns the messages to send. Call it every
+// TickPeriod.
+func (h *Holder) Tick() []Envelope {
+	now := h.lock()
+	defer h.mutex.Unlock()
+	envelopes := h.beats(now)
+	envelopes = append(envelopes, h.propose(now)...)
+	envelopes = append(envelopes, h.asks(now)...)
+	h.forgetLimits(now)
+	return envelopes
+}
+
+// forgetLimits drops the limits that left the table, once nobody can use a
+// part of them any more.
+func (h *Holder) forgetLimits(now instant) {
+	for name, b := range h.buckets {
+		b.forgetLoans(now)
+		if b.gone && now.slow-b.removed > 2*loanMemory+b.limit.overrun() {
+			delete(h.buckets, name)
+			delete(h.counts, name)
+		}
+	}
+}
+
+// Receive handles a message from another host and returns the answers.
+func (h *Holder) Receive(message Message) []Envelope {
+	now := h.lock()
+	defer h.mutex.Unlock()
+	switch m := message.(type) {
+	case Beat:
+		return h.receiveBeat(m, now)
+	case Propose:
+		return h.receivePropose(m)
+	case Consent:
+		h.receiveConsent(m)
+		return nil
+	case Ask:
+		return h.receiveAsk(m, now)
+	case Lend:
+		h.receiveLend(m, now)
+		return nil
+	default:
+		return nil
+	}
+}
+
+// Observe takes over an allocation that was read from the store. The read was
+// begun at this time or later; [Holder.Stamp] gives it.
+func (h *Holder) Observe(a Allocation, begun time.Duration) {
+	now := h.lock()
+	defer h.mutex.Unlock()
+	if a.Epoch > h.epoch.allocation.Epoch {
+		h.adopt(a, now)
+	}
+	if a.Epoch == h.epoch.allocation.Epoch {
+		h.epoch.readAt = max(h.epoch.readAt, begun)
+		h.confirmAt(begun)
+	}
+}
+
+// Stamp returns the holder's clock, for [Holder.Observe].
+func (h *Holder) Stamp() time.Duration {
+	now := h.lock()
+	defer h.mutex.Unlock()
+	return now.fast
+}
