Queue fairly between teams; step weights towards the table

**Cause** One team's burst must not cost the others, and a change of weights must move traffic under the caps between regions.

**Change** Package queue: a bounded line per team, start-time fair queueing over the time that grants are held, refusal at once of what cannot meet its deadline, and a quarter kept from the team that holds the most. Package steer: the plan with its steps, the host's router that takes a token for each moved request, and the evacuation of a lost region, shared between teams by weight.

--- a/backend/errors.go
+++ b/backend/errors.go
@@ -35,3 +35,6 @@
 func (e *LostRegionError) Error() string {
 	return fmt.Sprintf("region %q is lost to %q: requests to its backend servers fail", e.Region, e.Service)
 }
+
+// MayWait says that a slot may become free.
+func (e *NoSlotError) MayWait() bool { return true }
--- /dev/null
+++ b/queue/reserve.go
@@ -0,0 +1,80 @@
+package queue
+
+import "time"
+
+const (
+	// reserveShare is the part of the capacity, as one in so many, that is
+	// kept from the team that holds the most for its weight.
+	reserveShare = 4
+	// activeTime is how long a team counts as active after its last request.
+	activeTime = 10 * time.Second
+	// activeCount is how often the active teams are counted.
+	activeCount = time.Second
+)
+
+// next returns the team whose request is granted next, or nil if only the top
+// team waits and may not use the reserve.
+func (q *Queue[T]) next() *team[T] {
+	first := q.waiting[0]
+	if q.eligible(first) {
+		return first
+	}
+	first = nil
+	for _, t := range q.waiting {
+		if q.eligible(t) && (first == nil || t.before(first)) {
+			first = t
+		}
+	}
+	return first
+}
+
+// eligible reports whether the team may get a grant: it is not the top team,
+// or it holds no more than its part of the capacity, or the reserve stays
+// whole. The part of a team that is alone is the whole.
+func (q *Queue[T]) eligible(t *team[T]) bool {
+	if q.Capacity == nil || t != q.top || q.active <= t.weight {
+		return true
+	}
+	capacity := q.Capacity()
+	if float64(t.held)*q.active <= float64(capacity)*t.weight {
+		return true
+	}
+	reserve := (capacity + reserveShare/2) / reserveShare
+	return q.held < capacity-reserve
+}
+
+// raiseTop notes that the team holds one more.
+func (q *Queue[T]) raiseTop(t *team[T]) {
+	if q.top == nil || t.part() > q.top.part() {
+		q.top = t
+	}
+}
+
+// lowerTop notes that the team holds one less.
+func (q *Queue[T]) lowerTop(t *team[T]) {
+	if t != q.top {
+		return
+	}
+	if t.held == 0 {
+		q.top = nil
+	}
+	for _, other := range q.teams {
+		if other.held > 0 && (q.top == nil || other.part() > q.top.part()) {
+			q.top = other
+		}
+	}
+}
+
+// countActive adds up the weights of the active teams now and then.
+func (q *Queue[T]) countActive(now time.Time) {
+	if now.Sub(q.activeSince) < activeCount {
+		return
+	}
+	q.activeSince = now
+	q.active = 0
+	for _, t := range q.teams {
+		if t.held > 0 || now.Sub(t.seen) < activeTime {
+			q.active += t.weight
+		}
+	}
+}
--- /dev/null
+++ b/steer/ask.go
@@ -0,0 +1,76 @@
+package steer
+
+// Report returns what this host measured, but for its name and the rooms,
+// which others know.
+func (r *Router) Report() Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	report := Report{
+		Taken:   now,
+		Step:    r.step,
+		Settled: true,
+	}
+	for _, s := range r.routes {
+		r.advance(s, now)
+		report.Settled = report.Settled && s.held
+		report.Denied = report.Denied || s.hold.failed
+		report.Lost = report.Lost || s.anyLost()
+		report.Routes = append(report.Routes, RouteRate{
+			Route: s.name,
+			Rate:  total(s.demand.rates(now)),
+		})
+	}
+	return report
+}
+
+// Violations returns how many invariants were broken so far.
+func (r *Router) Violations() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.violations
+}
+
+// stepRate returns the requests per second that one step of the evacuation may
+// move from this host: its part of what the caps allow all hosts, shared with
+// the other routes that lost the region.
+func (r *Router) stepRate(s *routeState, e *evacuation) float64 {
+	own := total(e.demand)
+	flow := 0.0
+	for _, other := range r.routes {
+		if other.evacuations[e.region] != nil {
+			flow += other.rate * other.effective.Of(e.region)
+		}
+	}
+	if flow <= 0 {
+		return blindStep * own
+	}
+	rest := r.rest(s, s.effective, e.region).normal()
+	part := 1.0
+	for _, x := range rest {
+		if x.Weight > 0 {
+			limit := r.shiftCap(e, x.Region)
+			part = min(part, CapMargin*limit/(flow*x.Weight))
+		}
+	}
+	return part * own
+}
+
+// shiftCap returns the cap on the evacuation's moves out of or back from the
+// region that helps.
+func (r *Router) shiftCap(e *evacuation, other string) float64 {
+	if e.back {
+		return shiftCap(r.links, pair{other, e.region})
+	}
+	return shiftCap(r.links, pair{e.region, other})
+}
+
+// anyLost reports whether a region that the route uses is lost.
+func (s *routeState) anyLost() bool {
+	for region := range s.evacuations {
+		if s.lost(region) && s.effective.Of(region) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/steer/doc.go
+++ b/steer/doc.go
@@ -11,7 +11,7 @@
 # Usage
 
 	weights := steer.TableWeights(route, current.Drains, clock())
-	region, err := weights.Place(steer.NewPoint(team, client))
+	region := weights.Place(steer.NewPoint(team, client, path))
 
 	lookup := steer.NewLookup(hosts, steer.NewBlocks(current.Blocks))
 	answer, err := lookup.Answer(steer.Question{
--- a/steer/errors.go
+++ b/steer/errors.go
@@ -27,6 +27,17 @@
 	return fmt.Sprintf("limit %q has no room for the request", e.Limit)
 }
 
+// LostError reports that the request's region is lost and the request is not
+// among those that the other regions can take yet. It was not run.
+type LostError struct {
+	Service string
+	Region  string
+}
+
+func (e *LostError) Error() string {
+	return fmt.Sprintf("region %q is lost to %q and the others cannot take the request yet", e.Region, e.Service)
+}
+
 // NoHostError reports that no entry host is listed.
 type NoHostError struct{}
 
--- a/steer/place.go
+++ b/steer/place.go
@@ -7,17 +7,20 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Point is the stable hash of a request's origin; requests with the same point
-// go to the same region while the weights stand.
+// Point is the stable hash of what a request is about; requests with the same
+// point go to the same region while the weights stand. One point should carry
+// little traffic, since it moves between regions as a whole.
 type Point uint64
 
-// NewPoint returns the point of a team's client.
-func NewPoint(team string, client netip.Addr) Point {
+// NewPoint returns the point of a client's request for a path. The path is part
+// of it, because a whole office may share one client address.
+func NewPoint(team string, client netip.Addr, path string) Point {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(team)
 	bytes := client.As16()
 	_, _ = digest.Write(bytes[:])
+	_, _ = digest.WriteString(path)
 	return Point(digest.Sum64())
 }
 
--- /dev/null
+++ b/steer/plan.go
@@ -0,0 +1,75 @@
+package steer
+
+import (
+	"time"
+
+	"trefoilline.example/trefoilline/table"
+)
+
+const (
+	// Hold is how long a step must be in force, nearly without a move denied,
+	// before it counts as settled. Until then its requests count as moved
+	// between regions.
+	Hold = 10 * time.Second
+	// RateLife is how long the rates of a plan stand before they are renewed.
+	RateLife = 30 * time.Second
+	// CapMargin is the part of a cap that a step may be expected to use.
+	CapMargin = 0.9
+	// RoomMargin is the part of a region's free slots that a step may fill.
+	RoomMargin = 0.8
+	// DeniedPart is the part of a step's moves that may be denied for the step
+	// to settle.
+	DeniedPart = 0.05
+)
+
+const (
+	// blindStep is the part of a route's traffic that one step moves if its
+	// rate is not known; the tokens alone then keep the cap.
+	blindStep = 1.0 / 16
+	// leastStep is the part of the way below which a step is not worth while.
+	leastStep = 1.0 / 1000
+	// paceDown and paceUp change the pace after a step that was too large and
+	// after one that settled.
+	paceDown  = 0.5
+	paceUp    = 1.25
+	leastPace = 1.0 / 64
+)
+
+// Plan is the weights in force on all hosts, on their way to the table's. It
+// is one object of the store; the holder of the plan's lease writes each step
+// by a conditional update of the last.
+type Plan struct {
+	// Step numbers the plans. Zero is "none yet".
+	Step uint64 `json:"step"`
+	// Table is the version that the plan moves towards.
+	Table table.Version `json:"table"`
+	// Written is when the step was decided.
+	Written time.Time `json:"written"`
+	// Pace is the part of what the caps allow that a step uses; 1 unless steps
+	// turned out too large for the traffic, as with wrong measurements.
+	Pace   float64     `json:"pace"`
+	Routes []RoutePlan `json:"routes"`
+}
+
+// RoutePlan is the weights of one route.
+type RoutePlan struct {
+	Route   string `json:"route"`
+	Service string `json:"service"`
+	// Settled is where the traffic went before the last step.
+	Settled Weights `json:"settled"`
+	// Effective is where it goes with the last step.
+	Effective Weights `json:"effective"`
+	// Rate is the route's requests per second over all hosts when it was last
+	// known, for hosts that must act without a new plan.
+	Rate float64 `json:"rate"`
+}
+
+// Route returns the route's plan, or false.
+func (p Plan) Route(name string) (RoutePlan, bool) {
+	for _, r := range p.Routes {
+		if r.Route == name {
+			return r, true
+		}
+	}
+	return RoutePlan{}, false
+}
