--- a/exchange/strip.go
+++ b/exchange/strip.go
@@ -31,8 +31,9 @@
 	"Upgrade",
 }
 
-// forwardHeader returns what of a caller's headers may go to a backend server.
-func forwardHeader(h http.Header, key string) http.Header {
+// ForwardHeader returns a copy of what of a caller's headers may go to a backend
+// server. The key is the one that the caller presented, or empty.
+func ForwardHeader(h http.Header, key string) http.Header {
 	forwarded := withoutHopByHop(h)
 	for name, values := range forwarded {
 		kept := forwardValues(name, values, key)
@@ -156,9 +157,9 @@
 	return parts.String()
 }
 
-// stripQuery removes the parameters that can carry the key and leaves all
-// others as they stand.
-func stripQuery(query, key string) string {
+// ForwardQuery removes the parameters that can carry the key from a raw query
+// and leaves all others as they stand.
+func ForwardQuery(query, key string) string {
 	return stripPairs(query, key, "&", ";")
 }
 
--- a/ticket/decision.go
+++ b/ticket/decision.go
@@ -28,7 +28,8 @@
 // and may have run before.
 type Expired struct{}
 
-// Refused says that the request must not run, and never ran under this name.
+// Refused says that the request must not run, and that no request of its holder
+// ever ran under this name.
 type Refused struct {
 	Reason RefusalReason
 }
--- a/ticket/register.go
+++ b/ticket/register.go
@@ -48,7 +48,7 @@
 	start   time.Time
 	mu      sync.Mutex
 	serial  uint64
-	windows map[uint32]map[used]entry
+	windows map[uint32]map[used]Result
 	length  int
 	// current is the window that was running when windows were last forgotten.
 	current uint32
@@ -69,19 +69,10 @@
 	number uint32
 }
 
-// entry is what is remembered of an admitted name.
-type entry struct {
-	result Result
-	// turn counts the admissions, so that a late result of an earlier one is
-	// told from that of the current one.
-	turn uint16
-}
-
 // Admitted lets a request run. Settle tells what came of it.
 type Admitted struct {
 	register *Register
 	name     Name
-	turn     uint16
 	// settled tells that result holds the first report.
 	settled bool
 	result  Result
@@ -100,7 +91,7 @@
 		host:        r.Host,
 		incarnation: r.Incarnation,
 		serial:      serial,
-		expiry:      uint32(expiry / time.Second),
+		expiry:      uint32((expiry + time.Second - 1) / time.Second),
 		count:       uint32(count),
 	}
 	b.code = r.code(b, holder)
@@ -155,12 +146,9 @@
 	}
 	a.settled, a.result = true, result
 	key, window := a.name.used(), r.windows[windowOf(a.name)]
-	e, found := window[key]
-	if !found || e.turn != a.turn {
-		return
+	if _, found := window[key]; found {
+		window[key] = result
 	}
-	e.result = result
-	window[key] = e
 }
 
 // check tells of a second report that takes back the first, if one of them says
@@ -179,10 +167,10 @@
 // enter admits the name if it was not, or did not run.
 func (r *Register) enter(name Name) Decision {
 	key, number := name.used(), windowOf(name)
-	e, found := r.windows[number][key]
-	if found && e.result != NotRun {
+	result, found := r.windows[number][key]
+	if found && result != NotRun {
 		return Repeated{
-			Result: e.result,
+			Result: result,
 		}
 	}
 	if !found && r.length >= r.limit() {
@@ -194,17 +182,12 @@
 		r.length++
 	}
 	if r.windows[number] == nil {
-		r.windows[number] = make(map[used]entry)
-	}
-	e = entry{
-		result: Running,
-		turn:   e.turn + 1,
+		r.windows[number] = make(map[used]Result)
 	}
-	r.windows[number][key] = e
+	r.windows[number][key] = Running
 	return &Admitted{
 		register: r,
 		name:     name,
-		turn:     e.turn,
 	}
 }
 
@@ -226,7 +209,7 @@
 func (r *Register) init() {
 	r.once.Do(func() {
 		r.start = r.now()
-		r.windows = make(map[uint32]map[used]entry)
+		r.windows = make(map[uint32]map[used]Result)
 		if r.Secret == [secretSize]byte{} {
 			_, _ = rand.Read(r.Secret[:])
 		}
--- a/ticket/status.go
+++ b/ticket/status.go
@@ -17,6 +17,6 @@
 	if name.block.host != r.Host || name.block.incarnation != r.Incarnation {
 		return Unknown, false
 	}
-	e, found := r.windows[windowOf(name)][name.used()]
-	return e.result, found
+	result, found := r.windows[windowOf(name)][name.used()]
+	return result, found
 }
