Serve requests end to end: daemon, request path, caller stand-in and demo

Cause: nothing joined the parts; a request could not be served from look-up to answer. Change: package entry is the request path (route, key, rate, fair queue, region, backend server, whole answer), package observe the numbered events and the measures, internal/daemon wires them with HTTP between entry hosts, cmd/trefoilline-standin holds the stand-ins with a caller that follows look-ups, script/demo runs store, backend servers and 7 daemons on loopback. Operators show the fleet's secret for status.

--- /dev/null
+++ b/cmd/trefoilline-standin/main.go
@@ -0,0 +1,25 @@
+// Trefoilline-standin runs small stand-ins of what an entry host meets: the
+// platform's store, a backend server, a caller.
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"trefoilline.example/trefoilline/internal/standin/backend"
+	"trefoilline.example/trefoilline/internal/standin/caller"
+	"trefoilline.example/trefoilline/internal/standin/store"
+)
+
+func main() {
+	root := &cobra.Command{
+		Use:          "trefoilline-standin",
+		Short:        "Stand in for the systems around trefoilline",
+		SilenceUsage: true,
+	}
+	root.AddCommand(store.NewCommand(), backend.NewCommand(), caller.NewCommand())
+	if root.Execute() != nil {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,175 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/header"
+	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/table"
+)
+
+const bearer = "Bearer "
+
+// call is one request on its way through the host.
+type call struct {
+	handler *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	// name tells the request from all others.
+	name     string
+	start    time.Time
+	route    table.Route
+	table    *table.Table
+	key      string
+	team     string
+	ctx      context.Context
+	cancel   context.CancelFunc
+	deadline time.Time
+	// grant is what the request took of its team's rate.
+	grant share.Grant
+}
+
+func (h *Handler) newCall(w http.ResponseWriter, r *http.Request) *call {
+	return &call{
+		handler: h,
+		w:       w,
+		r:       r,
+		name:    h.Host + "-" + uuid.NewString(),
+		start:   h.now(),
+		cancel:  func() {},
+	}
+}
+
+// serve takes the request through all steps. An error means that no byte of an
+// answer was written.
+func (c *call) serve() error {
+	if err := c.findRoute(); err != nil {
+		return err
+	}
+	if err := c.readDeadline(); err != nil {
+		return err
+	}
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	if err := c.takeRate(); err != nil {
+		return err
+	}
+	err := c.forward()
+	if notRun(err) {
+		c.giveBack()
+	}
+	return err
+}
+
+func (c *call) findRoute() error {
+	routes := c.handler.routes.Load()
+	if routes == nil {
+		return &StartingError{}
+	}
+	route, found := routes.find(c.r.URL.Path)
+	if !found {
+		return &NoRouteError{
+			Path: c.r.URL.Path,
+		}
+	}
+	c.route = route
+	c.table = routes.table
+	return nil
+}
+
+func (c *call) readDeadline() error {
+	left, err := header.ParseDeadline(c.r.Header.Get(header.Deadline))
+	if err != nil {
+		return err
+	}
+	if left == 0 {
+		left = c.handler.Deadline
+	}
+	if left == 0 {
+		left = DefaultDeadline
+	}
+	c.deadline = c.start.Add(left)
+	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), c.deadline)
+	return nil
+}
+
+// authenticate checks the key of this request; that an earlier one on the same
+// connection had a good key says nothing.
+func (c *call) authenticate() error {
+	if c.route.Access == table.Open {
+		return nil
+	}
+	c.key = presentedKey(c.r)
+	name, err := c.handler.Keys.Verify(c.key)
+	if err != nil {
+		return err
+	}
+	c.team = name
+	return nil
+}
+
+// presentedKey returns the key from the first place that carries one.
+func presentedKey(r *http.Request) string {
+	if key := r.Header.Get(header.Key); key != "" {
+		return key
+	}
+	if value := r.Header.Get("Authorization"); len(value) > len(bearer) && strings.EqualFold(value[:len(bearer)], bearer) {
+		return value[len(bearer):]
+	}
+	if cookie, err := r.Cookie(header.KeyCookie); err == nil {
+		return cookie.Value
+	}
+	return r.URL.Query().Get(header.KeyParameter)
+}
+
+func (c *call) place() (place, error) {
+	weights := steer.TableWeights(c.route, c.table.Drains, c.handler.now())
+	region := weights.Place(steer.NewPoint(c.team, c.client(), c.name))
+	if region == "" {
+		return place{}, &steer.NoRegionError{
+			Route: c.route.Name,
+		}
+	}
+	return place{
+		Service: c.route.Service,
+		Region:  region,
+	}, nil
+}
+
+// request builds what goes to the backend server.
+func (c *call) request() (*exchange.Request, error) {
+	request := exchange.FromHTTP(c.r, c.name)
+	request.Key = c.key
+	request.Idempotent = c.route.Repeat == table.Idempotent
+	stream, isStream := request.Body.(*exchange.Stream)
+	if !request.Idempotent || !isStream {
+		return request, nil
+	}
+	body, err := exchange.Buffer(stream, MaxBuffered)
+	if err != nil {
+		return nil, &NotRunError{
+			Reason: string(Cancelled),
+			Cause:  err,
+		}
+	}
+	request.Body = body
+	return request, nil
+}
+
+// client returns the caller's address.
+func (c *call) client() netip.Addr {
+	address, err := netip.ParseAddrPort(c.r.RemoteAddr)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr().Unmap()
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -68,6 +68,7 @@
 	flags := root.PersistentFlags()
 	flags.String(flagStore, "", "address of the platform's store, such as 10.0.0.9:7000")
 	flags.StringSlice(flagHosts, nil, "addresses of entry hosts, separated by commas")
+	flags.String(flagSecret, "", "the fleet's secret, shown to entry hosts; better set as TREFOILLINE_FLEET_SECRET")
 	flags.Duration(flagTimeout, 10*time.Second, "bound on each call")
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return &UsageError{
--- a/internal/command/hosts.go
+++ b/internal/command/hosts.go
@@ -20,15 +20,11 @@
 // parallelHosts is how many hosts are asked at once.
 const parallelHosts = 32
 
-// hostHTTP reaches entry hosts directly, by no proxy.
-var hostHTTP = &http.Client{
-	Transport: &http.Transport{},
-}
-
 // hostClient asks entry hosts.
 type hostClient struct {
 	hosts   []netip.AddrPort
 	timeout time.Duration
+	http    *http.Client
 }
 
 // openHosts returns a client of the hosts that the settings name, or else of
@@ -41,6 +37,11 @@
 	h := hostClient{
 		hosts:   s.hosts,
 		timeout: s.timeout,
+		http: &http.Client{
+			Transport: &secretTransport{
+				secret: s.secret,
+			},
+		},
 	}
 	if len(h.hosts) == 0 && s.store != "" {
 		h.hosts, err = listedHosts(c.Context(), s)
@@ -110,7 +111,7 @@
 func (h hostClient) status(ctx context.Context, host netip.AddrPort) hostStatus {
 	ctx, cancel := context.WithTimeout(ctx, h.timeout)
 	defer cancel()
-	client := trefoillinev1connect.NewFleetServiceClient(hostHTTP, "http://"+host.String(), connect.WithProtoJSON())
+	client := trefoillinev1connect.NewFleetServiceClient(h.http, "http://"+host.String(), connect.WithProtoJSON())
 	response, err := client.Status(ctx, connect.NewRequest(&trefoillinev1.StatusRequest{}))
 	if err != nil {
 		return hostStatus{
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -17,6 +17,7 @@
 	flagHosts   = "hosts"
 	flagTimeout = "timeout"
 	flagOutput  = "output"
+	flagSecret  = "fleet-secret"
 )
 
 // environmentPrefix starts the names of the environment variables.
@@ -28,6 +29,7 @@
 	store   string
 	hosts   []netip.AddrPort
 	timeout time.Duration
+	secret  string
 }
 
 func readSettings(c *cobra.Command) (settings, error) {
@@ -43,6 +45,7 @@
 	s := settings{
 		store:   v.GetString(flagStore),
 		timeout: v.GetDuration(flagTimeout),
+		secret:  v.GetString(flagSecret),
 	}
 	if s.timeout <= 0 {
 		return settings{}, &SettingError{
--- /dev/null
+++ b/internal/daemon/invariants.go
@@ -0,0 +1,33 @@
+package daemon
+
+import (
+	"fmt"
+
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/backend"
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/table"
+	"trefoilline.example/trefoilline/team"
+)
+
+// wireInvariants lets the parts report broken invariants.
+func (d *daemon) wireInvariants() {
+	d.pool = &backend.Pool{
+		OnViolation: func(v backend.Violation) {
+			d.violated("backend-servers", fmt.Sprintf("%T %+v", v, v))
+		},
+	}
+	d.tables.OnViolation = func(v table.Violation) {
+		d.violated("table-versions", fmt.Sprintf("%+v", v))
+	}
+	d.keys.OnViolation = func(v team.Violation) {
+		d.violated("withdrawn-keys", v.Hash.String())
+	}
+}
+
+// violated counts and logs a broken invariant.
+func (d *daemon) violated(invariant, detail string) {
+	d.measures.Violated()
+	d.log.Write(observe.InvariantBroken, zap.String("invariant", invariant), zap.String("detail", detail))
+}
--- /dev/null
+++ b/internal/daemon/leave.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/observe"
+)
+
+// leave takes the host out of look-up answers, serves on until cached answers
+// have run out and running requests are done, and closes the server.
+func (d *daemon) leave(server *http.Server) error {
+	d.log.Write(observe.LeavingStarted, zap.Int("running", d.handler.Running()))
+	d.leaving.Store(true)
+	d.refreshLookup()
+	d.limits.Leave()
+
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
+	defer cancel()
+	pause(ctx, d.settings.LookUpValidity)
+	err := server.Shutdown(ctx)
+	cut := d.handler.Running()
+	d.log.Write(observe.Stopped, zap.Int("cut", cut))
+	if err != nil {
+		return server.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/api/trefoilline/v1/trefoillinev1connect"
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/share"
+)
+
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// Run serves until the context ends, then leaves the fleet and returns when the
+// last request is done.
+func Run(ctx context.Context, settings Settings) error {
+	log, err := newLog(settings)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", settings.Listen.String())
+	if err != nil {
+		return &ListenError{
+			Address: settings.Listen.String(),
+			Cause:   err,
+		}
+	}
+	d := newDaemon(settings, log)
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var loops sync.WaitGroup
+	d.startLoops(background, &loops)
+
+	server := &http.Server{
+		Handler:           d.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	d.log.Write(observe.Started, zap.String("host", settings.Host), zap.Uint64("incarnation", d.incarnation),
+		zap.String("address", listener.Addr().String()))
+	select {
+	case err = <-failed:
+	case <-ctx.Done():
+		err = d.leave(server)
+	}
+	stop()
+	loops.Wait()
+	return err
+}
+
+// startLoops starts what runs beside the requests.
+func (d *daemon) startLoops(ctx context.Context, loops *sync.WaitGroup) {
+	d.peers.start(ctx)
+	loops.Go(func() { d.followMachines(ctx) })
+	loops.Go(func() { d.followTable(ctx) })
+	loops.Go(func() { d.followKeys(ctx) })
+	loops.Go(func() { d.greet(ctx) })
+	loops.Go(func() { d.tickLimits(ctx) })
+	loops.Go(func() { d.refreshAllocation(ctx) })
+}
+
+// routes sends the daemon's own calls to their handlers, all else to the
+// request path.
+func (d *daemon) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(trefoillinev1connect.NewLookUpServiceHandler(&lookUps{
+		daemon: d,
+	}))
+	path, fleetService := trefoillinev1connect.NewFleetServiceHandler(&fleetQueries{
+		daemon: d,
+	}, connect.WithReadMaxBytes(maxPacket))
+	mux.Handle(path, d.guarded(fleetService))
+	mux.Handle("POST "+peerPath, d.guarded(http.HandlerFunc(d.receivePacket)))
+	mux.Handle("GET /trefoilline/measures", d.guarded(http.HandlerFunc(d.writeMeasures)))
+	mux.Handle("/", d.handler)
+	return mux
+}
+
+func (d *daemon) writeMeasures(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	d.measures.WriteJSON(w)
+}
+
+// tickLimits drives the division of the limits among the hosts.
+func (d *daemon) tickLimits(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.peers.sendShare(d.limits.Tick())
+		pause(ctx, share.TickPeriod)
+	}
+}
+
+// refreshAllocation carries the allocation to and from the store.
+func (d *daemon) refreshAllocation(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.keeper.Refresh(ctx); err != nil {
+			d.log.Write(observe.AllocationUnwritten, zap.Error(err))
+		}
+		pause(ctx, share.TickPeriod)
+	}
+}
