--- a/ticket/claim_test.go
+++ b/ticket/claim_test.go
@@ -117,6 +117,12 @@
 	s.isDown = isDown
 }
 
+func (s *memoryStore) countWrites() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 func newStore() *memoryStore {
 	return &memoryStore{
 		objects: make(map[string]platform.Object),
@@ -230,7 +236,7 @@
 		waits = append(waits, time.Since(start))
 	}
 	slices.Sort(waits)
-	c.Writes = store.writes
+	c.Writes = store.countWrites()
 	c.Median, c.P99 = waits[len(waits)/2], waits[len(waits)*99/100]
 	return c
 }
@@ -244,7 +250,7 @@
 		var settled sync.WaitGroup
 		claims := compare(store, newRandom(), admitByClaim(t, store, &settled))
 		settled.Wait()
-		claims.Writes = store.writes
+		claims.Writes = store.countWrites()
 		neither := compare(newStore(), newRandom(), func(int, int) bool { return true })
 		t.Logf("tickets: %+v", tickets)
 		t.Logf("claims: %+v", claims)
