Prove table and keys under races, lost answers and lies

Cause: the promises of the table and the keys need runs that fail without the mechanism.

A reader that finds the head unchanged decodes nothing.

--- a/table/parse_test.go
+++ b/table/parse_test.go
@@ -24,6 +24,9 @@
 block,,,,,,,,,,,,,,,,2001:db8::/48,kumasi
 `
 
+// replaced returns the small table with one piece of text replaced.
+func replaced(from, to string) string { return strings.Replace(small, from, to, 1) }
+
 func parse(t *testing.T, text string) table.Table {
 	t.Helper()
 	parsed, err := table.ParseCSV(strings.NewReader(text))
--- /dev/null
+++ b/table/race_test.go
@@ -0,0 +1,234 @@
+package table_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/table"
+)
+
+// editsEach is how many edits each operator makes in one run.
+const editsEach = 12
+
+// seeds is how many runs each test of racing operators makes.
+var seeds = flag.Int("seeds", 10, "randomised runs of each test of racing operators")
+
+// baselineSeeds bounds the runs without the mechanism, which take longer.
+const baselineSeeds = 3
+
+// readPause is the reader's pause between two loads.
+const readPause = 250 * time.Millisecond
+
+// race is a run of two operators who edit the table over a bad network, while a
+// reader follows it.
+type race struct {
+	store *client
+	// forget hides from operators the edits that versions remember.
+	forget bool
+
+	mu sync.Mutex
+	// sent counts the edits that hold, as their operators know, by team.
+	sent map[string]int
+	// unsure counts the sendings whose outcome stayed unknown.
+	unsure int
+}
+
+// operator makes its edits one after the other: it adds one to a team's rate.
+// Its own team is edited by nobody else; the shared one is edited by both.
+func (r *race) operator(t *testing.T, number int, seed uint64) {
+	publisher := table.Publisher{
+		Store: &client{
+			store:     r.store.store,
+			seed:      seed,
+			lost:      0.3,
+			late:      0.3,
+			unreached: 0.2,
+			forget:    r.forget,
+		},
+	}
+	for n := range editsEach {
+		name := fmt.Sprintf("own-%d", number)
+		if n%3 == 0 {
+			name = "shared"
+		}
+		r.edit(t, publisher, name, fmt.Sprintf("edit-%d-%d", number, n))
+	}
+}
+
+// edit adds one to the team's rate, as an operator would: it starts again from
+// the newest table when told that nothing was published, and sends the same edit
+// again when told that it may have been.
+func (r *race) edit(t *testing.T, publisher table.Publisher, name, id string) {
+	for start := 0; ; start++ {
+		base := r.newest(t)
+		edit := table.Edit{
+			ID:    table.EditID(fmt.Sprintf("%s-%d", id, start)),
+			Base:  base.Version,
+			Table: raise(base, name),
+			Merge: name != "shared",
+		}
+		if r.send(t, publisher, edit) {
+			r.mu.Lock()
+			r.sent[name]++
+			r.mu.Unlock()
+			return
+		}
+	}
+}
+
+// send sends an edit until its outcome is known, and says whether it holds.
+func (r *race) send(t *testing.T, publisher table.Publisher, edit table.Edit) bool {
+	for {
+		_, err := publisher.Publish(t.Context(), edit)
+		var conflict *table.ConflictError
+		var overlap *table.OverlapError
+		var unsent *table.NotPublishedError
+		var unknown *table.UnknownOutcomeError
+		switch {
+		case err == nil:
+			return true
+		case errors.As(err, &conflict), errors.As(err, &overlap):
+			return false
+		case errors.As(err, &unknown):
+			r.mu.Lock()
+			r.unsure++
+			r.mu.Unlock()
+		default:
+			require.ErrorAs(t, err, &unsent)
+		}
+	}
+}
+
+func (r *race) newest(t *testing.T) table.Table {
+	reader := table.Reader{}
+	snapshot, err := reader.Load(t.Context(), r.store)
+	require.NoError(t, err)
+	return snapshot.Table
+}
+
+// raise returns the table with one more on a team's rate.
+func raise(t table.Table, name string) table.Table {
+	for _, row := range t.Teams {
+		if row.Name == name {
+			after := row
+			after.Rate++
+			return table.Apply(t, []table.Change{
+				table.Changed{
+					Before: row,
+					After:  after,
+				},
+			})
+		}
+	}
+	return t
+}
+
+// follow offers what a reader loads over a bad network until the end.
+func (r *race) follow(t *testing.T, seed uint64, follower *table.Follower, end <-chan struct{}) {
+	reader := table.Reader{}
+	source := &client{
+		store: r.store.store,
+		seed:  seed,
+	}
+	last := table.Version(0)
+	for {
+		select {
+		case <-end:
+			return
+		default:
+		}
+		snapshot, err := reader.Load(t.Context(), source)
+		require.NoError(t, err)
+		require.NoError(t, table.Check(snapshot.Table))
+		follower.Offer(snapshot)
+		require.GreaterOrEqual(t, follower.Version(), last)
+		last = follower.Version()
+		time.Sleep(readPause)
+	}
+}
+
+// run runs the race and returns by how much the rates exceed the edits that
+// their operators know to hold; the edits of a lost rate count below zero.
+func (r *race) run(t *testing.T, seed uint64) int {
+	r.sent = make(map[string]int)
+	start := parse(t, "kind,name,weight-accra,rate,burst\nregion,accra\nteam,own-1,,1,1\nteam,own-2,,1,1\nteam,shared,,1,1\n")
+	publish(t, r.store, "start", 0, start)
+	var follower table.Follower
+	end := make(chan struct{})
+	var operators, readers sync.WaitGroup
+	readers.Go(func() { r.follow(t, seed+2, &follower, end) })
+	operators.Go(func() { r.operator(t, 1, seed) })
+	operators.Go(func() { r.operator(t, 2, seed+1) })
+	operators.Wait()
+	time.Sleep(2 * time.Second)
+	close(end)
+	readers.Wait()
+	require.Zero(t, follower.Violations())
+	excess := 0
+	for _, row := range r.newest(t).Teams {
+		difference := int(row.Rate) - 1 - r.sent[row.Name]
+		require.GreaterOrEqual(t, difference, 0, "an edit of %s was lost", row.Name)
+		excess += difference
+	}
+	return excess
+}
+
+// versionsOfOneEdit counts the versions beyond the first of each edit, and
+// checks that versions are whole and count up by one.
+func (r *race) versionsOfOneEdit(t *testing.T) int {
+	history, err := table.History(t.Context(), r.store, 0)
+	require.NoError(t, err)
+	seen := make(map[table.EditID]bool)
+	twice := 0
+	for i, m := range history {
+		require.Equal(t, table.Version(len(history)-i), m.Version)
+		if seen[m.Edit] {
+			twice++
+		}
+		seen[m.Edit] = true
+	}
+	return twice
+}
+
+// races runs the race with each seed and adds up its figures.
+func races(t *testing.T, runs int, forget bool) (excess, twice, unsure int) {
+	versions := 0
+	for seed := range uint64(runs) {
+		synctest.Test(t, func(t *testing.T) {
+			r := &race{
+				store:  newStore(),
+				forget: forget,
+			}
+			excess += r.run(t, 100*(seed+1))
+			twice += r.versionsOfOneEdit(t)
+			unsure += r.unsure
+			versions += int(load(t, r.store).Head.Version)
+		})
+	}
+	t.Logf("%d runs: %d versions, %d edits applied twice, %d versions of an edit beyond its first, %d sendings of unknown outcome",
+		runs, versions, excess, twice, unsure)
+	return excess, twice, unsure
+}
+
+// TestRacingOperators wants each edit to hold once, through lost answers, writes
+// that take effect late and calls that do not arrive.
+func TestRacingOperators(t *testing.T) {
+	excess, twice, unsure := races(t, *seeds, false)
+	require.Zero(t, excess)
+	require.Zero(t, twice)
+	require.Positive(t, unsure, "no sending met an unknown outcome")
+}
+
+// TestRacingOperatorsWithoutIdentifiers shows what the identifiers of edits are
+// for: without them the same runs apply edits twice.
+func TestRacingOperatorsWithoutIdentifiers(t *testing.T) {
+	excess, _, _ := races(t, min(*seeds, baselineSeeds), true)
+	require.Positive(t, excess)
+}
--- a/table/read.go
+++ b/table/read.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -27,6 +28,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.last != nil && bytes.Equal(content, r.last.head) {
+		return r.last, nil
+	}
 	head, err := decodeHead(content)
 	if err != nil {
 		return nil, err
--- a/table/store_test.go
+++ b/table/store_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/table"
 )
 
 // objects is the content of the store that several clients share.
@@ -21,16 +25,22 @@
 	written int
 }
 
-// client is one caller's way to the store. With a random source it delays each
-// call, loses some on the way there and some on the way back.
+// client is one caller's way to the store. With a seed it delays each call,
+// loses some on the way there and some answers on the way back. The fate of a
+// call depends on the seed, its key and how often the key was called, and not on
+// the order of calls at one moment.
 type client struct {
-	store  *objects
-	random *rand.Rand
-	mu     sync.Mutex
-	// lost is the share of calls whose answer is lost, unreached of those that do
-	// not arrive.
+	store *objects
+	seed  uint64
+	mu    sync.Mutex
+	calls map[string]uint64
+	// lost is the share of calls whose answer is lost, late of those that take
+	// effect only after the caller gave up, unreached of those that do not arrive.
 	lost      float64
+	late      float64
 	unreached float64
+	// forget hides the edits that the head remembers.
+	forget bool
 }
 
 func newStore() *client {
@@ -41,42 +51,64 @@
 	}
 }
 
-func (c *client) draw() (delay time.Duration, lost, unreached bool) {
-	if c.random == nil {
-		return 0, false, false
+// draw returns the random source of the next call of the key, nil for a client
+// without a seed.
+func (c *client) draw(key string) *rand.Rand {
+	if c.seed == 0 {
+		return nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delay = time.Duration(c.random.Int64N(int64(20 * time.Millisecond)))
-	return delay, c.random.Float64() < c.lost, c.random.Float64() < c.unreached
+	if c.calls == nil {
+		c.calls = make(map[string]uint64)
+	}
+	c.calls[key]++
+	return rand.New(rand.NewPCG(c.seed^xxhash.Sum64String(key), c.calls[key]))
+}
+
+func delay(random *rand.Rand, most time.Duration) {
+	time.Sleep(time.Duration(random.Int64N(int64(most))))
 }
 
 // call runs a call that takes effect between two delays.
-func (c *client) call(key string, effect func() error) error {
-	delay, lost, unreached := c.draw()
-	time.Sleep(delay)
-	if unreached {
+func (c *client) call(key string, write bool, effect func() error) error {
+	locked := func() error {
+		c.store.mu.Lock()
+		defer c.store.mu.Unlock()
+		return effect()
+	}
+	random := c.draw(key)
+	if random == nil {
+		return locked()
+	}
+	delay(random, 20*time.Millisecond)
+	if random.Float64() < c.unreached {
 		return &platform.UnreachedError{
 			Key: key,
 		}
 	}
-	c.store.mu.Lock()
-	err := effect()
-	c.store.mu.Unlock()
-	delay, _, _ = c.draw()
-	time.Sleep(delay)
-	if lost {
-		return &platform.UnknownOutcomeError{
-			Key:   key,
-			Cause: context.DeadlineExceeded,
-		}
+	unknown := &platform.UnknownOutcomeError{
+		Key:   key,
+		Cause: context.DeadlineExceeded,
+	}
+	if write && random.Float64() < c.late {
+		go func() {
+			delay(random, time.Second)
+			_ = locked()
+		}()
+		return unknown
+	}
+	err := locked()
+	delay(random, 20*time.Millisecond)
+	if write && random.Float64() < c.lost {
+		return unknown
 	}
 	return err
 }
 
 func (c *client) Get(_ context.Context, key string) (platform.Object, error) {
 	var object platform.Object
-	err := c.call(key, func() error {
+	err := c.call(key, false, func() error {
 		var found bool
 		c.store.gets++
 		if object, found = c.store.held[key]; !found {
@@ -86,12 +118,23 @@
 		}
 		return nil
 	})
+	if c.forget && key == table.HeadKey && err == nil {
+		object.Value, err = forgetEdits(object.Value)
+	}
 	return object, err
 }
 
+func forgetEdits(content []byte) ([]byte, error) {
+	head, err := table.ParseHead(content)
+	if err != nil {
+		return nil, err
+	}
+	head.Edits = nil
+	return json.Marshal(head)
+}
+
 func (c *client) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
-	var version platform.Version
-	err := c.call(key, func() error {
+	err := c.call(key, true, func() error {
 		held, found := c.store.held[key]
 		c.store.puts++
 		if !holds(condition, held, found) {
@@ -108,15 +151,15 @@
 		}
 		c.store.version++
 		c.store.written += len(value)
-		version = c.store.version
 		c.store.held[key] = platform.Object{
 			Key:     key,
 			Value:   slices.Clone(value),
-			Version: version,
+			Version: c.store.version,
 		}
 		return nil
 	})
-	return version, err
+	// A publisher has no use for the version.
+	return 0, err
 }
 
 func holds(condition platform.Condition, held platform.Object, found bool) bool {
@@ -130,7 +173,7 @@
 }
 
 func (c *client) Delete(_ context.Context, key string, _ platform.Condition) error {
-	return c.call(key, func() error {
+	return c.call(key, true, func() error {
 		delete(c.store.held, key)
 		return nil
 	})
@@ -138,7 +181,7 @@
 
 func (c *client) List(_ context.Context, prefix string) ([]platform.Object, error) {
 	var found []platform.Object
-	err := c.call(prefix, func() error {
+	err := c.call(prefix, false, func() error {
 		for key, object := range c.store.held {
 			if strings.HasPrefix(key, prefix) {
 				found = append(found, object)
--- /dev/null
+++ b/team/fuzz_test.go
@@ -0,0 +1,34 @@
+package team_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/team"
+)
+
+// FuzzParseKey wants one text for each key, and errors that do not repeat it.
+func FuzzParseKey(f *testing.F) {
+	key, err := team.NewKey(nil)
+	require.NoError(f, err)
+	f.Add(key.Reveal())
+	f.Add("")
+	f.Add(team.KeyPrefix)
+	f.Add(key.Reveal()[:team.KeyLength-1] + "\n")
+	f.Add(key.Reveal()[:team.KeyLength-1] + "-")
+	f.Fuzz(func(t *testing.T, text string) {
+		parsed, err := team.ParseKey(text)
+		if err == nil {
+			require.Equal(t, text, parsed.Reveal())
+			return
+		}
+		var none *team.NoKeyError
+		var malformed *team.MalformedKeyError
+		require.True(t, errors.As(err, &none) || errors.As(err, &malformed))
+		if len(text) > len(team.KeyPrefix) {
+			require.NotContains(t, err.Error(), text)
+		}
+	})
+}
