Run an idempotent request each time that it is sent, named or not

**Cause** A caller that sends an Idempotency-Key with every request had its stock checks claimed in the store, refused while the store is down, and told that they were answered already in place of being answered.

**Change** Desk.Serve and Refuse take names only of requests that may run once.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -91,7 +91,12 @@
 	return request.Withhold(reason)
 }
 
+// isNamed tells whether the request may have run when it was sent before under
+// its name.
 func isNamed(request *exchange.Request) bool {
+	if request.Idempotent {
+		return false
+	}
 	return request.Header.Get(header.Ticket) != "" || idempotencyKey(request) != ""
 }
 
--- a/admission/desk.go
+++ b/admission/desk.go
@@ -29,8 +29,12 @@
 // Serve runs the request if it may run, passes it to the host that may run it,
 // or says what came of it before. The holder is the team whose key came with
 // the request, empty on routes open to all. A request that comes with a ticket or
-// an idempotency key gets its name from that.
+// an idempotency key gets its name from that. An idempotent request needs no
+// name, and runs each time that it is sent.
 func (d *Desk) Serve(ctx context.Context, request *exchange.Request, holder string, run Run) exchange.Outcome {
+	if request.Idempotent {
+		return run(ctx)
+	}
 	if text := request.Header.Get(header.Ticket); text != "" {
 		return d.serveTicket(ctx, request, text, holder, run)
 	}
--- /dev/null
+++ b/admission/desk_test.go
@@ -0,0 +1,67 @@
+package admission_test
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/admission"
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/header"
+	"trefoilline.example/trefoilline/internal/standin/store"
+	"trefoilline.example/trefoilline/ticket"
+)
+
+// TestIdempotentRequestRunsEachTimeItIsSent has a name on a request that needs
+// none: its caller wants the answer again, not that it was answered.
+func TestIdempotentRequestRunsEachTimeItIsSent(t *testing.T) {
+	memory := &store.Memory{}
+	memory.SetFaults(store.Faults{
+		Down: true,
+	})
+	desk := &admission.Desk{
+		Register: &ticket.Register{
+			Host: netip.MustParseAddrPort("10.0.0.1:80"),
+		},
+		Claims: &ticket.Claims{
+			Store: memory,
+		},
+	}
+	for name, value := range map[string]string{
+		header.Ticket:         desk.Register.Issue("", 1).Name(0),
+		header.IdempotencyKey: "order-1",
+	} {
+		runs := 0
+		for range 2 {
+			request := &exchange.Request{
+				Name: "r1",
+				URL:  &url.URL{},
+				Header: http.Header{
+					name: {value},
+				},
+				Idempotent: true,
+			}
+			desk.Serve(t.Context(), request, "", func(context.Context) exchange.Outcome {
+				runs++
+				return &exchange.Answered{}
+			})
+			require.Equal(t, "r1", request.Name)
+			require.Implements(t, (*exchange.NotRun)(nil), admission.Refuse(request, "withdrawn"))
+		}
+		require.Equal(t, 2, runs, name)
+	}
+}
+
+// TestNamedRefusalDoesNotSayNotRun refuses a payment that may have run before.
+func TestNamedRefusalDoesNotSayNotRun(t *testing.T) {
+	request := &exchange.Request{
+		Header: http.Header{
+			header.IdempotencyKey: {"order-1"},
+		},
+	}
+	require.IsType(t, &exchange.Unknown{}, admission.Refuse(request, "withdrawn"))
+}
--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -23,6 +23,7 @@
 	stall     *watchdog
 	received  int64
 	whole     bool
+	lost      bool
 	err       error
 }
 
@@ -138,6 +139,7 @@
 		a.whole = true
 		return io.EOF
 	}
+	a.lost = a.try.outgoing.Context().Err() == nil
 	return &BrokenAnswerError{
 		Server:   a.try.server,
 		Received: a.received,
@@ -186,6 +188,10 @@
 	return nil
 }
 
+// Lost tells whether the answer broke because of the backend server, and not
+// because its caller went away, or the time was over, or it fell silent.
+func (a *Answered) Lost() bool { return a.lost }
+
 // Close ends the answer. The connection of one that was not read to its end is
 // closed, so that the rest of it never meets another request.
 func (a *Answered) Close() {
--- a/exchange/drop_test.go
+++ b/exchange/drop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -158,6 +159,30 @@
 	}, gated)
 }
 
+func TestLostAnswerIsToldFromAnAbandonedOne(t *testing.T) {
+	server := &backend.Server{}
+	address := start(t, server)
+	client := newClient(t)
+	for _, isLost := range []bool{true, false} {
+		faults := backend.Faults{}
+		if isLost {
+			faults.Drop = backend.DropInAnswer
+		}
+		server.SetFaults(faults)
+		ctx, cancel := context.WithCancel(t.Context())
+		answered, isAnswered := client.Send(ctx, address, newRequest("r1", http.MethodGet, "/?stand-in-size=1000000", nil)).(*exchange.Answered)
+		require.True(t, isAnswered)
+		if !isLost {
+			cancel()
+		}
+		_, err := io.ReadAll(answered)
+		require.Error(t, err)
+		require.Equal(t, isLost, answered.Lost())
+		answered.Close()
+		cancel()
+	}
+}
+
 func TestOnceRequestIsNotSentAgainAfterUnknown(t *testing.T) {
 	first, second := &backend.Server{}, &backend.Server{}
 	first.SetFaults(backend.Faults{
