Give up silent kept connections in 5 s, and slow servers no time less

**Cause** A request on a connection that had gone silent waited for its whole deadline unless an answer timeout was set, and that cut slow answers on new connections too. Pools of backend servers that are gone were never dropped.

**Change** The answer timeout is 5 s unless set and holds only on connections that were used before; the next try of the request goes on a new one and gets all its time. Pools that were not used for 10 minutes go when another is made.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -109,6 +109,7 @@
 	a.stall = &watchdog{
 		span:    t.client.StallTimeout,
 		expired: func() { t.silent(t.client.StallTimeout) },
+		enabled: true,
 	}
 	return a
 }
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -14,8 +14,13 @@
 	DefaultConnectTimeout = 2 * time.Second
 	DefaultIdleTimeout    = 15 * time.Second
 	DefaultIdlePerServer  = 16
+	DefaultAnswerTimeout  = 5 * time.Second
 )
 
+// poolMemory is how long the connections to a backend server are provided for
+// after the last request to it.
+const poolMemory = 10 * time.Minute
+
 // Keep-alive probes find an idle connection that went silent after the idle
 // time and count intervals.
 const (
@@ -39,8 +44,10 @@
 	// IdlePerServer is how many idle connections are kept for each backend
 	// server; [DefaultIdlePerServer] if zero.
 	IdlePerServer int
-	// AnswerTimeout bounds the wait for an answer to begin, besides the
-	// request's deadline; none if zero.
+	// AnswerTimeout bounds the wait for an answer to begin on a connection that
+	// was used before, besides the request's deadline; [DefaultAnswerTimeout] if
+	// zero. A new connection has not gone silent, so a slow backend server gets
+	// all the time there on the next try.
 	AnswerTimeout time.Duration
 	// StallTimeout bounds the wait for the next bytes of an answer; none if
 	// zero.
@@ -56,10 +63,16 @@
 	// pools keeps connections to the backend servers known to echo request
 	// names. Without the echo nothing tells an answer on a kept connection from
 	// that to another request.
-	pools map[netip.AddrPort]*http.Transport
+	pools map[netip.AddrPort]*pool
 	fresh *http.Transport
 }
 
+// pool is the kept connections to a backend server.
+type pool struct {
+	transport *http.Transport
+	used      time.Time
+}
+
 // Violation is an invariant that did not hold: a request that may run only once
 // was handed over more than once.
 type Violation struct {
@@ -71,11 +84,11 @@
 // for it.
 func (c *Client) Forget(server netip.AddrPort) {
 	c.mu.Lock()
-	pool := c.pools[server]
+	p, found := c.pools[server]
 	delete(c.pools, server)
 	c.mu.Unlock()
-	if pool != nil {
-		pool.CloseIdleConnections()
+	if found {
+		p.transport.CloseIdleConnections()
 	}
 }
 
@@ -83,13 +96,13 @@
 // they become idle.
 func (c *Client) drop(server netip.AddrPort) {
 	c.mu.Lock()
-	pool, found := c.pools[server]
+	p, found := c.pools[server]
 	if found {
-		c.pools[server] = c.newTransport()
+		c.pools[server] = c.newPool()
 	}
 	c.mu.Unlock()
 	if found {
-		pool.CloseIdleConnections()
+		p.transport.CloseIdleConnections()
 	}
 }
 
@@ -99,8 +112,8 @@
 	pools := c.pools
 	c.pools = nil
 	c.mu.Unlock()
-	for _, pool := range pools {
-		pool.CloseIdleConnections()
+	for _, p := range pools {
+		p.transport.CloseIdleConnections()
 	}
 }
 
@@ -111,15 +124,18 @@
 	return c.Clock()
 }
 
-// transport returns the connections to use for the request: kept ones for an
-// idempotent request to a backend server that echoes names, always a new one
-// for others. It tells whether the backend server is known to echo names.
-func (c *Client) transport(server netip.AddrPort, idempotent bool) (*http.Transport, bool) {
+// transport returns the connections to use for the request: kept ones if it may
+// use them and the backend server echoes names, else a new one. It tells whether
+// the backend server is known to echo names.
+func (c *Client) transport(server netip.AddrPort, mayUseKept bool) (*http.Transport, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pool, echoes := c.pools[server]
-	if echoes && idempotent {
-		return pool, true
+	p, echoes := c.pools[server]
+	if echoes {
+		p.used = c.now()
+	}
+	if echoes && mayUseKept {
+		return p.transport, true
 	}
 	if c.fresh == nil {
 		c.fresh = c.newTransport()
@@ -136,9 +152,28 @@
 		return
 	}
 	if c.pools == nil {
-		c.pools = make(map[netip.AddrPort]*http.Transport)
+		c.pools = make(map[netip.AddrPort]*pool)
+	}
+	c.forgetUnused()
+	c.pools[server] = c.newPool()
+}
+
+// forgetUnused drops what is kept for backend servers that are gone. Their idle
+// connections have closed long before.
+func (c *Client) forgetUnused() {
+	now := c.now()
+	for server, p := range c.pools {
+		if now.Sub(p.used) > poolMemory {
+			delete(c.pools, server)
+		}
+	}
+}
+
+func (c *Client) newPool() *pool {
+	return &pool{
+		transport: c.newTransport(),
+		used:      c.now(),
 	}
-	c.pools[server] = c.newTransport()
 }
 
 func (c *Client) newTransport() *http.Transport {
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -36,6 +36,8 @@
 	handedOver int
 	// trying counts the tries that are under way.
 	trying int
+	// silenced is set when a kept connection swallowed a try.
+	silenced bool
 }
 
 // FromHTTP returns the request that a caller sent, under the given name, with
@@ -108,6 +110,21 @@
 	r.trying--
 }
 
+// silence notes that a kept connection swallowed a try.
+func (r *Request) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silenced = true
+}
+
+// mayUseKept tells whether the request may go on a connection that was open
+// before.
+func (r *Request) mayUseKept() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Idempotent && !r.silenced
+}
+
 // expose notes that a try may have run.
 func (r *Request) expose() {
 	r.mu.Lock()
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -65,18 +65,18 @@
 		gate:    &gate{},
 		caller:  ctx,
 	}
+	timeout := orDefault(c.AnswerTimeout, DefaultAnswerTimeout)
 	t.beginning = &watchdog{
-		span:    c.AnswerTimeout,
-		expired: func() { t.silent(c.AnswerTimeout) },
+		span:    timeout,
+		expired: func() { t.silent(timeout) },
 	}
-	t.transport, t.echoes = c.transport(server, request.Idempotent)
+	t.transport, t.echoes = c.transport(server, request.mayUseKept())
 	inner, cancel := context.WithCancelCause(ctx)
 	t.cancel = cancel
 	trace := &httptrace.ClientTrace{
 		GotConn: t.gotConnection,
 	}
 	t.outgoing = t.build(httptrace.WithClientTrace(inner, trace))
-	t.beginning.run()
 	return t
 }
 
@@ -87,6 +87,9 @@
 	if !isGated || !t.gate.admit(c) {
 		t.cancel(&GateShutError{})
 	}
+	if info.Reused {
+		t.beginning.enable()
+	}
 }
 
 // silent ends a try whose backend server said nothing for the span.
@@ -137,6 +140,9 @@
 func (t *try) failed(err error) Outcome {
 	defer t.end()
 	reason, cause := t.explain(err)
+	if reason == Silent {
+		t.request.silence()
+	}
 	if reason == DeadlineExceeded || reason == Silent {
 		// What swallowed this request may have swallowed every open connection.
 		t.client.drop(t.server)
--- a/exchange/watchdog.go
+++ b/exchange/watchdog.go
@@ -5,22 +5,30 @@
 	"time"
 )
 
-// watchdog calls expired when its span has passed while it was running. The zero
-// span never does.
+// watchdog calls expired when its span has passed while it was running, once it
+// is enabled. The zero span never passes.
 type watchdog struct {
 	span    time.Duration
 	expired func()
 
 	mu      sync.Mutex
 	timer   *time.Timer
-	stopped bool
+	enabled bool
+}
+
+// enable starts the watch.
+func (d *watchdog) enable() {
+	d.mu.Lock()
+	d.enabled = true
+	d.mu.Unlock()
+	d.run()
 }
 
 // run starts the span anew.
 func (d *watchdog) run() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.span <= 0 || d.stopped {
+	if d.span <= 0 || !d.enabled {
 		return
 	}
 	if d.timer == nil {
@@ -43,7 +51,7 @@
 func (d *watchdog) stop() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.stopped = true
+	d.enabled = false
 	if d.timer != nil {
 		d.timer.Stop()
 	}
