Add the fleet: members, feeds spread from few readers, confirmed age

**Cause** Every host must know which hosts live, have the newest configuration in force within 11 s, never go back, and know how old its view of withdrawn keys is, at 650 hosts with store calls that grow with zones.

A feed is the set of objects under a prefix; three readers per zone watch the store, the rest poll a shallow tree. A feed may name a head key, so that a watch that lags confirms nothing.

--- /dev/null
+++ b/fleet/reader.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"trefoilline.example/trefoilline/platform"
+)
+
+// Times of a reader's calls.
+const (
+	// readWait is how long a watch of a healthy store waits for changes. It
+	// bounds the age of what a reader knows.
+	readWait = 500 * time.Millisecond
+	// readTimeout is how long the store may take on top of that.
+	readTimeout = 600 * time.Millisecond
+	// readPause lies between a call that failed and the next.
+	readPause = 250 * time.Millisecond
+)
+
+// Reader calls the store for one feed of a node whenever the node asks for it.
+type Reader struct {
+	Node  *Node
+	Store platform.Store
+	Feed  Feed
+}
+
+// Run calls until the context ends.
+func (r *Reader) Run(ctx context.Context) {
+	wait := readWait
+	for ctx.Err() == nil {
+		if !r.Node.ShouldRead(r.Feed.Prefix) {
+			pause(ctx, r.Node.Interval())
+			continue
+		}
+		if r.read(ctx, wait) {
+			wait = readWait
+			continue
+		}
+		// The next call only asks whether the store is back.
+		wait = 0
+		pause(ctx, readPause)
+	}
+}
+
+// read makes one call and tells the node how it went.
+func (r *Reader) read(ctx context.Context, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	began, after := r.Node.ReadBegins(r.Feed.Prefix)
+	changes, err := r.Store.Watch(ctx, r.Feed.Prefix, after, wait)
+	if err != nil {
+		r.fail(began, err)
+		return false
+	}
+	head, err := r.head(ctx)
+	if err != nil {
+		r.fail(began, err)
+		return false
+	}
+	if head <= changes.Next {
+		r.Node.ReadSucceeded(r.Feed.Prefix, began, changes)
+		return true
+	}
+	return r.list(ctx, began)
+}
+
+// head returns the version of the feed's head, zero if it has none.
+func (r *Reader) head(ctx context.Context) (platform.Version, error) {
+	if r.Feed.Head == "" {
+		return 0, nil
+	}
+	object, err := r.Store.Get(ctx, r.Feed.Head)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return 0, nil
+	}
+	return object.Version, err
+}
+
+// list reads the whole feed where a watch lags behind its head.
+func (r *Reader) list(ctx context.Context, began time.Duration) bool {
+	objects, err := r.Store.List(ctx, r.Feed.Prefix)
+	if err != nil {
+		r.fail(began, err)
+		return false
+	}
+	r.Node.ReadListed(r.Feed.Prefix, began, objects)
+	return true
+}
+
+// fail tells the node whether the store was reached at all.
+func (r *Reader) fail(began time.Duration, err error) {
+	var refused *platform.RefusedError
+	var spent *platform.BudgetError
+	switch {
+	case errors.As(err, &refused):
+		r.Node.ReadRefused(r.Feed.Prefix, began)
+	case errors.As(err, &spent):
+		// The store was not called.
+	default:
+		r.Node.ReadFailed(r.Feed.Prefix, began)
+	}
+}
+
+// listInterval lies between two looks at the platform's list of machines.
+const listInterval = 5 * time.Second
+
+// Lister keeps a node up to date with the platform's list of machines: at the
+// start, until it knows another host, and then while the host is a reader.
+type Lister struct {
+	Node      *Node
+	Directory platform.Directory
+}
+
+// Run asks until the context ends.
+func (l *Lister) Run(ctx context.Context) {
+	listed := false
+	for ctx.Err() == nil {
+		if !listed || l.Node.IsReader() {
+			listed = l.list(ctx)
+		}
+		if !listed {
+			pause(ctx, l.Node.Interval())
+			continue
+		}
+		pause(ctx, listInterval)
+	}
+}
+
+// list asks once and tells whether the node now knows another host.
+func (l *Lister) list(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	machines, err := l.Directory.Machines(ctx)
+	if err != nil {
+		return false
+	}
+	l.Node.SetListed(machines)
+	return len(l.Node.Members()) > 1
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -9,8 +9,10 @@
 
 // Faults are the failures in force. The zero value is a healthy store.
 type Faults struct {
-	// Down makes every call fail as not reached.
+	// Down makes every call to the object store fail as not reached.
 	Down bool
+	// ListDown does the same to the list of machines.
+	ListDown bool
 	// Delay is added to each call, half before it takes effect and half after.
 	Delay time.Duration
 	// LoseReplies is how many of the next writes take effect without an answer;
@@ -62,6 +64,14 @@
 	return unreached(key, &downError{})
 }
 
+// checkListUp reports a list of machines that is down.
+func (m *Memory) checkListUp() error {
+	if !m.Faults().ListDown {
+		return nil
+	}
+	return unreached("machines", &downError{})
+}
+
 // loseReply tells whether the reply to this write is lost. The caller holds
 // the lock.
 func (m *Memory) loseReply() bool {
--- a/internal/standin/store/message.go
+++ b/internal/standin/store/message.go
@@ -6,7 +6,8 @@
 
 // FaultsMessage is [Faults] as the control of the stand-in reads it.
 type FaultsMessage struct {
-	Down bool `json:"down"`
+	Down     bool `json:"down"`
+	ListDown bool `json:"list-down"`
 	// Delay is a duration as Go writes it, such as "250ms"; empty is none.
 	Delay       string `json:"delay,omitempty"`
 	LoseReplies int    `json:"lose-replies"`
@@ -26,6 +27,7 @@
 	}
 	return Faults{
 		Down:        f.Down,
+		ListDown:    f.ListDown,
 		Delay:       delay,
 		LoseReplies: f.LoseReplies,
 		StaleWatch:  f.StaleWatch,
