--- a/exchange/drop_test.go
+++ b/exchange/drop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -23,32 +24,25 @@
 	idempotent bool
 }
 
-var kinds = map[string]kind{
-	"post": {
-		method: http.MethodPost,
-		body:   bytes.Repeat([]byte("x"), 1000),
-	},
-	"post-with-key": {
-		method: http.MethodPost,
-		body:   bytes.Repeat([]byte("x"), 1000),
-		key:    "order-1",
-	},
-	"empty-post-with-key": {
-		method: http.MethodPost,
-		key:    "order-1",
-	},
-	"get-once": {
-		method: http.MethodGet,
-	},
-	"get": {
-		method:     http.MethodGet,
-		idempotent: true,
-	},
-	"idempotent-empty-post-with-key": {
-		method:     http.MethodPost,
-		key:        "order-1",
-		idempotent: true,
-	},
+// kinds combines methods, bodies, keys and routes.
+func kinds() map[string]kind {
+	all := make(map[string]kind)
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		for _, size := range []int{0, 1000} {
+			for _, key := range []string{"", "order-1"} {
+				for _, idempotent := range []bool{false, true} {
+					name := fmt.Sprintf("%s-%d-%s-%t", method, size, key, idempotent)
+					all[name] = kind{
+						method:     method,
+						body:       bytes.Repeat([]byte("x"), size),
+						key:        key,
+						idempotent: idempotent,
+					}
+				}
+			}
+		}
+	}
+	return all
 }
 
 var dropPoints = []backend.DropPoint{
@@ -75,7 +69,7 @@
 // before, and has it dropped once at each point.
 func measureDrops(t *testing.T, send sendFunc) dropFigures {
 	var f dropFigures
-	for kindName, k := range kinds {
+	for kindName, k := range kinds() {
 		for _, point := range dropPoints {
 			server := &backend.Server{}
 			address := start(t, server)
@@ -161,10 +155,34 @@
 	require.Positive(t, naive.falseNotRun)
 	require.Positive(t, naive.falseWhole)
 	require.Equal(t, dropFigures{
-		sent: len(kinds) * len(dropPoints),
+		sent: len(kinds()) * len(dropPoints),
 	}, gated)
 }
 
+func TestLostAnswerIsToldFromAnAbandonedOne(t *testing.T) {
+	server := &backend.Server{}
+	address := start(t, server)
+	client := newClient(t)
+	for _, isLost := range []bool{true, false} {
+		faults := backend.Faults{}
+		if isLost {
+			faults.Drop = backend.DropInAnswer
+		}
+		server.SetFaults(faults)
+		ctx, cancel := context.WithCancel(t.Context())
+		answered, isAnswered := client.Send(ctx, address, newRequest("r1", http.MethodGet, "/?stand-in-size=1000000", nil)).(*exchange.Answered)
+		require.True(t, isAnswered)
+		if !isLost {
+			cancel()
+		}
+		_, err := io.ReadAll(answered)
+		require.Error(t, err)
+		require.Equal(t, isLost, answered.Lost())
+		answered.Close()
+		cancel()
+	}
+}
+
 func TestOnceRequestIsNotSentAgainAfterUnknown(t *testing.T) {
 	first, second := &backend.Server{}, &backend.Server{}
 	first.SetFaults(backend.Faults{
