--- a/steer/advance.go
+++ b/steer/advance.go
@@ -24,40 +24,25 @@
 	if mostLost(reports) {
 		return RegionLost{}
 	}
-	if v := p.checkHeld(last, reports, now); v != nil {
+	if v := checkHeld(last, reports); v != nil {
 		return v
 	}
 	p.settle(reports)
 	return p.takeStep(wanted, t.Links, reports)
 }
 
-// checkHeld returns nil if the last step settled on all hosts. A step that was
-// too large, so that its moves are denied, is taken back by half.
-func (p *Plan) checkHeld(last Plan, reports []Report, now time.Time) Verdict {
+// checkHeld returns nil if the last step held on all hosts.
+func checkHeld(last Plan, reports []Report) Verdict {
 	for _, report := range reports {
-		if report.Step == last.Step && report.Settled {
-			continue
-		}
-		if report.Step == last.Step && report.Denied && now.Sub(last.Written) >= Hold {
-			p.halve()
-			return Stepped{}
-		}
-		return Holding{
-			Host: report.Host,
+		if report.Step != last.Step || !report.Held {
+			return Holding{
+				Host: report.Host,
+			}
 		}
 	}
 	return nil
 }
 
-// halve takes back half of the last step and slows the next ones.
-func (p *Plan) halve() {
-	p.Pace = max(leastPace, p.Pace*paceDown)
-	for i := range p.Routes {
-		r := &p.Routes[i]
-		r.Effective = r.Settled.towards(r.Effective, paceDown)
-	}
-}
-
 // reached reports whether nothing is left to move or to settle.
 func (p *Plan) reached(wanted []Weights) bool {
 	for i, r := range p.Routes {
@@ -89,12 +74,18 @@
 	return Reached{}
 }
 
-// settle takes the effective weights as settled and notes the rates.
+// settle takes as settled what the last step moved, and notes the rates. If its
+// moves were denied in part, because the step was too large for the caps, it
+// settles in part: what counts as settled is never more than what was moved.
 func (p *Plan) settle(reports []Report) {
-	p.Pace = min(1, p.Pace*paceUp)
+	var h hold
+	for _, report := range reports {
+		h.tried += report.Tried
+		h.denied += report.Denied
+	}
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		r.Settled = r.Effective
+		r.Settled = r.Settled.towards(r.Effective, h.granted())
 		if measured := rate(reports, r.Route); measured > 0 {
 			r.Rate = measured
 		}
@@ -108,7 +99,7 @@
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		c := changes[i]
-		part := min(p.Pace*c.partUnderCaps(changes, links), c.partUnderRoom(reports))
+		part := min(c.partUnderCaps(changes, links), c.partUnderRoom(reports))
 		if part < leastStep {
 			continue
 		}
--- a/steer/ask.go
+++ b/steer/ask.go
@@ -7,14 +7,15 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	report := Report{
-		Taken:   now,
-		Step:    r.step,
-		Settled: true,
+		Taken: now,
+		Step:  r.step,
+		Held:  true,
 	}
 	for _, s := range r.routes {
 		r.advance(s, now)
-		report.Settled = report.Settled && s.held
-		report.Denied = report.Denied || s.hold.failed
+		report.Held = report.Held && s.held
+		report.Tried += s.hold.tried
+		report.Denied += s.hold.denied
 		report.Lost = report.Lost || s.anyLost()
 		report.Routes = append(report.Routes, RouteRate{
 			Route: s.name,
@@ -49,8 +50,7 @@
 	part := 1.0
 	for _, x := range rest {
 		if x.Weight > 0 {
-			limit := r.shiftCap(e, x.Region)
-			part = min(part, CapMargin*limit/(flow*x.Weight))
+			part = min(part, r.shiftCap(e, x.Region)/(flow*x.Weight))
 		}
 	}
 	return part * own
--- a/steer/evacuation.go
+++ b/steer/evacuation.go
@@ -26,7 +26,6 @@
 	// settled and level are the levels before and with the last step.
 	settled float64
 	level   float64
-	pace    float64
 	hold    hold
 }
 
@@ -72,31 +71,28 @@
 	return max(1, coldCost-(coldCost-1)*age)
 }
 
-// advance settles the last step if it held and takes the next one, which may
+// advance settles what the last step moved and takes the next one, which may
 // move up to rate requests per second more from this host.
 func (e *evacuation) advance(rate float64, now time.Time) {
-	if !e.hold.settled(now) {
-		e.slow()
-		return
-	}
-	e.settled = e.level
-	e.pace = min(1, e.pace*paceUp)
+	e.settle()
 	e.step(rate, now)
 }
 
-// slow takes back half of a step that did not hold.
-func (e *evacuation) slow() {
-	if !e.hold.failed {
+// settle takes as settled what the last step moved.
+func (e *evacuation) settle() {
+	granted := e.hold.granted()
+	if granted == 1 {
+		e.settled = e.level
 		return
 	}
-	e.hold.failed = false
-	e.pace = max(leastPace, e.pace*paceDown)
-	e.level = (e.settled + e.level) / 2
+	before := e.moved(e.settled)
+	after := e.moved(e.level)
+	e.settled = FairLevel(e.demands(), before+granted*(after-before))
 }
 
 // step takes the next step.
 func (e *evacuation) step(rate float64, now time.Time) {
-	step := e.pace * rate / e.cost(now)
+	step := rate / e.cost(now)
 	if e.back {
 		step = -step
 	}
@@ -104,6 +100,15 @@
 	e.hold.restart(now)
 }
 
+// moved returns the requests per second that go over at the level.
+func (e *evacuation) moved(level float64) float64 {
+	sum := 0.0
+	for _, d := range e.demands() {
+		sum += min(d.Rate, level*d.weight())
+	}
+	return sum
+}
+
 // levelFor returns the level that moves step requests per second more than the
 // settled one. Without known demand it is all or nothing.
 func (e *evacuation) levelFor(step float64) float64 {
@@ -114,21 +119,15 @@
 	if all == 0 {
 		return 1
 	}
-	moved := 0.0
-	for _, d := range e.demands() {
-		moved += min(d.Rate, e.settled*d.weight())
-	}
-	return FairLevel(e.demands(), min(max(0, moved+step), all))
+	return FairLevel(e.demands(), min(max(0, e.moved(e.settled)+step), all))
 }
 
-// turn changes the direction when the region is lost again or back.
-func (e *evacuation) turn(back bool, rate float64, now time.Time) {
-	if e.back == back {
-		return
-	}
+// turn changes the direction when the region is lost again or back. What moved
+// of late counts as settled, since it takes tokens to move back.
+func (e *evacuation) turn(back bool, now time.Time) {
+	e.settle()
 	e.back = back
 	e.since = now
-	e.step(rate, now)
 }
 
 // done reports whether the region has all of its traffic back.
--- a/steer/next.go
+++ b/steer/next.go
@@ -31,10 +31,6 @@
 		Step:    plan.Step,
 		Table:   t.Version,
 		Written: plan.Written,
-		Pace:    plan.Pace,
-	}
-	if next.Pace <= 0 {
-		next.Pace = 1
 	}
 	changed := plan.Step == 0 || plan.Table != t.Version || len(plan.Routes) != len(t.Routes)
 	for _, route := range t.Routes {
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -7,19 +7,20 @@
 )
 
 const (
-	// Hold is how long a step must be in force, nearly without a move denied,
-	// before it counts as settled. Until then its requests count as moved
-	// between regions.
+	// Hold is how long a step must be in force before it settles. Until then its
+	// requests count as moved between regions.
 	Hold = 10 * time.Second
 	// RateLife is how long the rates of a plan stand before they are renewed.
 	RateLife = 30 * time.Second
-	// CapMargin is the part of a cap that a step may be expected to use.
-	CapMargin = 0.9
+	// ShiftBurst is the burst of a shift limit, as the time over which its rate
+	// adds up to it.
+	ShiftBurst = time.Second
 	// RoomMargin is the part of a region's free slots that a step may fill.
 	RoomMargin = 0.8
-	// DeniedPart is the part of a step's moves that may be denied for the step
-	// to settle.
-	DeniedPart = 0.05
+	// DeniedPart is the part of a step's moves, over all hosts, that may be
+	// denied for the whole step to settle; if more are, only the part that was
+	// granted settles.
+	DeniedPart = 0.02
 )
 
 const (
@@ -28,11 +29,6 @@
 	blindStep = 1.0 / 16
 	// leastStep is the part of the way below which a step is not worth while.
 	leastStep = 1.0 / 1000
-	// paceDown and paceUp change the pace after a step that was too large and
-	// after one that settled.
-	paceDown  = 0.5
-	paceUp    = 1.25
-	leastPace = 1.0 / 64
 )
 
 // Plan is the weights in force on all hosts, on their way to the table's. It
@@ -44,11 +40,8 @@
 	// Table is the version that the plan moves towards.
 	Table table.Version `json:"table"`
 	// Written is when the step was decided.
-	Written time.Time `json:"written"`
-	// Pace is the part of what the caps allow that a step uses; 1 unless steps
-	// turned out too large for the traffic, as with wrong measurements.
-	Pace   float64     `json:"pace"`
-	Routes []RoutePlan `json:"routes"`
+	Written time.Time   `json:"written"`
+	Routes  []RoutePlan `json:"routes"`
 }
 
 // RoutePlan is the weights of one route.
--- a/steer/report.go
+++ b/steer/report.go
@@ -11,10 +11,11 @@
 	Taken time.Time `json:"taken"`
 	// Step is the step of the plan that is in force on the host.
 	Step uint64 `json:"step"`
-	// Settled says that the step settled there.
-	Settled bool `json:"settled"`
-	// Denied says that it did not settle because too many moves were denied.
-	Denied bool `json:"denied"`
+	// Held says that it has been in force for Hold.
+	Held bool `json:"held"`
+	// Tried and Denied count the step's moves since it is in force.
+	Tried  int `json:"tried"`
+	Denied int `json:"denied"`
 	// Lost says that the host finds a region lost.
 	Lost   bool        `json:"lost"`
 	Routes []RouteRate `json:"routes"`
--- a/steer/router.go
+++ b/steer/router.go
@@ -79,7 +79,7 @@
 				settled: p.Settled,
 			}
 		}
-		state.follow(p, now)
+		state.follow(p, plan.Step == r.step+1, now)
 		routes[p.Route] = state
 	}
 	r.routes = routes
@@ -102,16 +102,26 @@
 			e.step(r.stepRate(state, e), now)
 		}
 		if e != nil {
-			e.turn(!lost, r.stepRate(state, e), now)
+			r.turn(state, e, !lost, now)
 		}
 	}
 }
 
-// follow takes the route's part of a plan.
-func (s *routeState) follow(p RoutePlan, now time.Time) {
+// turn changes the direction of an evacuation, if it is the other one.
+func (r *Router) turn(s *routeState, e *evacuation, back bool, now time.Time) {
+	if e.back == back {
+		return
+	}
+	e.turn(back, now)
+	e.step(r.stepRate(s, e), now)
+}
+
+// follow takes the route's part of a plan. If the plan comes right after the one
+// in force, and that has held here, the host knows what has settled.
+func (s *routeState) follow(p RoutePlan, direct bool, now time.Time) {
 	s.advance(now)
-	if s.held && p.Settled.Equal(s.effective) {
-		s.settled = s.effective
+	if s.held && direct {
+		s.settled = p.Settled
 	}
 	s.service = p.Service
 	s.rate = p.Rate
@@ -123,17 +133,16 @@
 	s.advance(now)
 }
 
-// advance notes when the step in force has held. It settles with the next plan
-// that says that it held on all hosts; at once if this plan says so.
+// advance notes when the step in force has held. It settles with the next plan;
+// if this plan is the last, on the host's own count of granted moves.
 func (s *routeState) advance(now time.Time) {
-	if s.held {
+	s.held = s.held || s.same || s.hold.due(now)
+	if s.same || !s.final || !s.hold.due(now) {
 		return
 	}
-	s.held = s.same || s.hold.settled(now)
-	if s.held && s.final {
-		s.settled = s.effective
-		s.same = true
-	}
+	s.settled = s.settled.towards(s.effective, s.hold.granted())
+	s.same = s.settled.Equal(s.effective)
+	s.hold.restart(now)
 }
 
 // evacuate begins to move the route's traffic out of the region.
@@ -147,7 +156,6 @@
 		since:   now,
 		demand:  demand,
 		weights: weights,
-		pace:    1,
 	}
 	if s.evacuations == nil {
 		s.evacuations = make(map[string]*evacuation)
--- a/steer/settle.go
+++ b/steer/settle.go
@@ -2,17 +2,12 @@
 
 import "time"
 
-// deniedFew is how many denied moves never keep a step from settling.
-const deniedFew = 2
-
-// hold watches whether a step holds: in force for Hold with nearly none of its
-// moves denied.
+// hold watches a step in force.
 type hold struct {
-	since  time.Time
+	since time.Time
+	// tried and denied count the step's moves.
 	tried  int
 	denied int
-	// failed says that the last try to settle ended with too many denied.
-	failed bool
 }
 
 // restart begins a new step.
@@ -30,21 +25,16 @@
 	}
 }
 
-// settled reports whether the step held. If too many moves were denied, the
-// wait begins anew.
-func (h *hold) settled(now time.Time) bool {
-	if !h.due(now) {
-		return false
-	}
-	if float64(h.denied) <= deniedFew+DeniedPart*float64(h.tried) {
-		return true
-	}
-	h.restart(now)
-	h.failed = true
-	return false
-}
-
 // due reports whether the step has been in force for Hold.
 func (h *hold) due(now time.Time) bool {
 	return now.Sub(h.since) >= Hold
 }
+
+// granted returns the part of the step's moves that were granted; all of them
+// if only a few were denied.
+func (h *hold) granted() float64 {
+	if float64(h.denied) <= DeniedPart*float64(h.tried) {
+		return 1
+	}
+	return max(0, 1-float64(h.denied)/float64(h.tried))
+}
--- a/steer/step.go
+++ b/steer/step.go
@@ -6,33 +6,6 @@
 	"trefoilline.example/trefoilline/table"
 )
 
-// samplePoints is how many points estimate the traffic that a change of
-// weights moves.
-const samplePoints = 1 << 13
-
-// pair is a direction between two regions.
-type pair struct {
-	from string
-	to   string
-}
-
-// movedParts returns the part of the traffic that goes from one region to
-// another when the weights change from a to b.
-func movedParts(a, b Weights) map[pair]float64 {
-	parts := make(map[pair]float64)
-	if a.Equal(b) {
-		return parts
-	}
-	for i := range samplePoints {
-		point := Point(mix(uint64(i+1) * 0x9e3779b97f4a7c15))
-		from, to := a.Place(point), b.Place(point)
-		if from != to {
-			parts[pair{from, to}] += 1.0 / samplePoints
-		}
-	}
-	return parts
-}
-
 // change is a route's way from its settled weights to its target.
 type change struct {
 	service string
@@ -67,7 +40,7 @@
 	for _, other := range all {
 		moved += other.rate * other.parts[direction]
 	}
-	return CapMargin * limit / moved
+	return limit / moved
 }
 
 // partUnderRoom returns how much of the way one step may go, so that the
