--- a/backend/choose.go
+++ b/backend/choose.go
@@ -34,9 +34,12 @@
 	return p.reserve(g, s, now), nil
 }
 
-// pick returns the least loaded server of a random sample, or any open server
-// if the sample has none, or nil.
+// pick returns a server with a free slot that is at home on this host, or else
+// the least loaded server of a random sample, or else any open server, or nil.
 func (p *Pool) pick(g *group, now time.Time) *server {
+	if s := p.first(g.homes, func(s *server) bool { return s.running < s.home && s.open(now) }); s != nil {
+		return s
+	}
 	var best *server
 	for range sampleSize {
 		s := g.servers[p.intN(len(g.servers))]
@@ -47,10 +50,18 @@
 	if best != nil {
 		return best
 	}
-	start := p.intN(len(g.servers))
-	for i := range g.servers {
-		s := g.servers[(start+i)%len(g.servers)]
-		if s.open(now) {
+	return p.first(g.servers, func(s *server) bool { return s.open(now) })
+}
+
+// first returns the first server that fits, from a random one on, or nil.
+func (p *Pool) first(servers []*server, fits func(*server) bool) *server {
+	if len(servers) == 0 {
+		return nil
+	}
+	start := p.intN(len(servers))
+	for i := range servers {
+		s := servers[(start+i)%len(servers)]
+		if fits(s) {
 			return s
 		}
 	}
--- a/backend/errors.go
+++ b/backend/errors.go
@@ -38,3 +38,17 @@
 
 // MayWait says that a slot may become free.
 func (e *NoSlotError) MayWait() bool { return true }
+
+// ProbeError reports that a health endpoint gave no usable answer.
+type ProbeError struct {
+	Server string
+	// Status is the HTTP status; zero if no answer came.
+	Status int
+	Cause  error
+}
+
+func (e *ProbeError) Error() string {
+	return fmt.Sprintf("probe of backend server %q failed with status %d: %v", e.Server, e.Status, e.Cause)
+}
+
+func (e *ProbeError) Unwrap() error { return e.Cause }
--- a/backend/group.go
+++ b/backend/group.go
@@ -9,6 +9,8 @@
 // group is the servers of one service in one region.
 type group struct {
 	servers []*server
+	// homes are the servers with slots that are at home on this host.
+	homes   []*server
 	running int
 	// failures counts failed requests since the last answered one.
 	failures int
@@ -27,6 +29,24 @@
 	})
 }
 
+// setHomes deals the slots of the servers, in order, to the hosts in turn.
+func (g *group) setHomes(host, hosts int) {
+	g.homes = nil
+	next := 0
+	for _, s := range g.servers {
+		s.home = 0
+		for range s.machine.Slots {
+			if hosts > 0 && next%hosts == host {
+				s.home++
+			}
+			next++
+		}
+		if s.home > 0 {
+			g.homes = append(g.homes, s)
+		}
+	}
+}
+
 // accepting counts the servers that are not leaving.
 func (g *group) accepting() int {
 	count := 0
--- a/backend/observe.go
+++ b/backend/observe.go
@@ -15,7 +15,6 @@
 		return
 	}
 	s.probe = probe
-	s.runningAtProbe = s.running
 	s.probedLeaving = probe.Draining
 	s.updateLeaving(now)
 	g := p.groups[place{s.machine.Service, s.machine.Region}]
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,9 @@
 	groups     map[place]*group
 	listed     bool
 	violations int
+	// host and hosts are this host and all live entry hosts, in order.
+	host  string
+	hosts []string
 }
 
 // place is a service in a region.
@@ -73,6 +77,19 @@
 	p.regroup()
 }
 
+// SetHosts tells the pool this host's name and the names of all live entry
+// hosts, itself included. Each slot of a server is at home on one of them, which
+// uses it first, so that hosts that know nothing of each other's requests rarely
+// meet on a full server. Hosts whose lists differ still work, at more such
+// meetings.
+func (p *Pool) SetHosts(host string, hosts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.host = host
+	p.hosts = slices.Sorted(slices.Values(hosts))
+	p.regroup()
+}
+
 // setMachine updates or adds a listed server.
 func (p *Pool) setMachine(m platform.Machine, now time.Time) {
 	if p.servers == nil {
@@ -122,10 +139,11 @@
 			groups[at] = g
 		}
 	}
+	p.groups = groups
 	for _, g := range groups {
 		g.sort()
+		g.setHomes(slices.Index(p.hosts, p.host), len(p.hosts))
 	}
-	p.groups = groups
 }
 
 // keepGroup returns the place's group without servers, or a new one.
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// reportTrust is how much a reported running request counts beside one that
-// this host knows of.
-const reportTrust = 0.5
-
 // Probe is what a server's health endpoint said. It may lag or mislead.
 type Probe struct {
 	Server string
@@ -20,8 +16,3 @@
 	// Slots is how many requests the server runs at once; zero if not told.
 	Slots int
 }
-
-// fresh reports whether the probe still says something.
-func (p Probe) fresh(now time.Time) bool {
-	return !p.Taken.IsZero() && !p.Failed && now.Sub(p.Taken) <= ProbeLife
-}
--- a/backend/server.go
+++ b/backend/server.go
@@ -29,12 +29,12 @@
 	ejections    int
 	failures     int
 	running      int
-	probe        Probe
-	// runningAtProbe is what this host ran when the probe came.
-	runningAtProbe int
-	listedLeaving  bool
-	probedLeaving  bool
-	gone           bool
+	// home is how many of its slots are at home on this host.
+	home          int
+	probe         Probe
+	listedLeaving bool
+	probedLeaving bool
+	gone          bool
 }
 
 // state returns the server's state at the time.
@@ -78,14 +78,11 @@
 	return s.running < s.slots(now)
 }
 
-// load returns the known load as a part of the slots: requests running from
-// this host, and those of others if a fresh probe told of them.
+// load returns the requests that run from this host as a part of the slots.
+// Reported load has no part in it: it is older than most requests last, and
+// hosts that follow the same report meet on the same server.
 func (s *server) load(now time.Time) float64 {
-	others := 0
-	if s.probe.fresh(now) {
-		others = max(0, s.probe.Running-s.runningAtProbe)
-	}
-	return (float64(s.running) + reportTrust*float64(others)) / float64(s.slots(now))
+	return float64(s.running) / float64(s.slots(now))
 }
 
 // updateLeaving keeps the time since which the server is known to leave.
