--- a/table/attempt.go
+++ b/table/attempt.go
@@ -15,15 +15,9 @@
 	edit      Edit
 	content   Sum
 	published time.Time
-	// pending is the write of the head that was sent and whose outcome is not
-	// known, nil for none.
-	pending *pendingWrite
-}
-
-// pendingWrite is a write that may still take effect, as long as the head stays
-// at the store's version that it is conditional on.
-type pendingWrite struct {
-	condition platform.Version
+	// uncertain is set once a write of the head was sent whose outcome is not
+	// known: it may take effect at any time later.
+	uncertain bool
 }
 
 // storedHead is the head with the store's version of it, zero if absent.
@@ -57,11 +51,6 @@
 	if receipt, held, err := a.remembered(current.head); held || err != nil {
 		return receipt, false, err
 	}
-	if a.pending != nil && a.pending.condition != current.stored {
-		// The head moved on without this edit; a write that is conditional on the
-		// head before can no longer happen.
-		a.pending = nil
-	}
 	next, err := a.rebase(ctx, current.head)
 	if err != nil {
 		return Receipt{}, worthRetry(err), err
@@ -86,7 +75,7 @@
 	if errors.As(cause, &unknown) || errors.As(cause, &refused) {
 		return cause
 	}
-	if a.pending != nil {
+	if a.uncertain {
 		return &UnknownOutcomeError{
 			Edit:  a.edit.ID,
 			Cause: cause,
@@ -210,9 +199,7 @@
 	}
 	_, err = a.publisher.Store.Put(ctx, HeadKey, content, headCondition(current))
 	if err != nil && !changedNothing(err) {
-		a.pending = &pendingWrite{
-			condition: current.stored,
-		}
+		a.uncertain = true
 	}
 	return err
 }
--- a/table/race_test.go
+++ b/table/race_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// edit adds one to the team's rate, as an operator would: it starts again from
+// edit adds one to the team's rate, as an operator would: it makes a new edit of
 // the newest table when told that nothing was published, and sends the same edit
 // again when told that it may have been.
 func (r *race) edit(t *testing.T, publisher table.Publisher, name, id string) {
@@ -85,6 +85,7 @@
 
 // send sends an edit until its outcome is known, and says whether it holds.
 func (r *race) send(t *testing.T, publisher table.Publisher, edit table.Edit) bool {
+	unsure := false
 	for {
 		_, err := publisher.Publish(t.Context(), edit)
 		var conflict *table.ConflictError
@@ -100,8 +101,12 @@
 			r.mu.Lock()
 			r.unsure++
 			r.mu.Unlock()
+			unsure = true
 		default:
 			require.ErrorAs(t, err, &unsent)
+			if !unsure {
+				return false
+			}
 		}
 	}
 }
--- a/team/team_test.go
+++ b/team/team_test.go
@@ -17,9 +17,9 @@
 
 var noon = time.Date(2027, time.January, 31, 12, 0, 0, 0, time.UTC)
 
-// store is a store whose every lostEach-th write loses its answer after it took
+// lossyStore is a store whose every lostEach-th write loses its answer after it took
 // effect; zero loses none.
-type store struct {
+type lossyStore struct {
 	platform.Store
 	held     map[string]platform.Object
 	version  platform.Version
@@ -27,13 +27,13 @@
 	lostEach int
 }
 
-func newStore() *store {
-	return &store{
+func newStore() *lossyStore {
+	return &lossyStore{
 		held: make(map[string]platform.Object),
 	}
 }
 
-func (s *store) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *lossyStore) Get(_ context.Context, key string) (platform.Object, error) {
 	object, found := s.held[key]
 	if !found {
 		return object, &platform.NotFoundError{
@@ -43,7 +43,7 @@
 	return object, nil
 }
 
-func (s *store) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+func (s *lossyStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
 	held, found := s.held[key]
 	wanted, conditional := condition.(platform.IfVersion)
 	if conditional && wanted.Version != held.Version || !conditional && found {
@@ -67,7 +67,7 @@
 	return s.version, nil
 }
 
-func (s *store) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (s *lossyStore) List(_ context.Context, prefix string) ([]platform.Object, error) {
 	var found []platform.Object
 	for key, object := range s.held {
 		if strings.HasPrefix(key, prefix) {
@@ -77,7 +77,7 @@
 	return found, nil
 }
 
-func (s *store) view(t *testing.T) team.View {
+func (s *lossyStore) view(t *testing.T) team.View {
 	t.Helper()
 	objects, err := s.List(t.Context(), team.Prefix)
 	require.NoError(t, err)
--- a/team/view.go
+++ b/team/view.go
@@ -96,7 +96,9 @@
 }
 
 // Update returns the view with the changes of a watch. An object that was
-// deleted counts as withdrawn: nothing of ours deletes one.
+// deleted counts as withdrawn: nothing of ours deletes one. The view is confirmed
+// up to when the watch was asked for, not when its answer came: a withdrawal may
+// have been accepted while the answer was on its way.
 func (v View) Update(changes platform.Changes, confirmed time.Time) View {
 	next := v.copy()
 	for _, object := range changes.Objects {
@@ -109,7 +111,8 @@
 
 // Refresh returns the view brought up to a full list of the store's records.
 // A key that the list lacks counts as withdrawn, unless its record is newer than
-// everything listed: then a peer told of it while the list was on its way.
+// everything listed: then a peer told of it while the list was on its way. The
+// view is confirmed up to when the list was asked for.
 func (v View) Refresh(objects []platform.Object, confirmed time.Time) View {
 	next := v.copy()
 	listed := make(map[Hash]bool, len(objects))
--- a/team/view_test.go
+++ b/team/view_test.go
@@ -17,7 +17,7 @@
 // fleet is a store and hosts that learn of keys in any order: by watches, by
 // lists that may be old, and from each other.
 type fleet struct {
-	store *store
+	store *lossyStore
 	// past holds what the store held at earlier moments.
 	past  [][]platform.Object
 	hosts []*team.Holder
