Spread table, keys and plan over the fleet instead of one watch per host

Cause: every host watched the store for three objects and greeted every other host each second; both grow with the fleet or its square. The age of the view of keys could only be confirmed by the host's own call. Change: the daemon runs package fleet: members by gossip, feeds from a few readers per availability zone, confirmation of the keys' view through peers. New tables are read from hosts of the zone before the store. Issuing and withdrawing a key ends with a write of keys-head, so a watch that lags is found out. Reports for the plan go to its two candidates only; the reads of the machine list are bounded over the fleet.

--- a/entry/errors.go
+++ b/entry/errors.go
@@ -26,12 +26,16 @@
 type KeysUnconfirmedError struct {
 	// Age is the time since the view of the keys was confirmed.
 	Age time.Duration
+	// Cause is the error of the view; it may be nil.
+	Cause error
 }
 
 func (e *KeysUnconfirmedError) Error() string {
 	return fmt.Sprintf("keys were last confirmed %v ago; use another entry host", e.Age.Round(time.Millisecond))
 }
 
+func (e *KeysUnconfirmedError) Unwrap() error { return e.Cause }
+
 // UnknownTeamError reports a key whose team is not in the table.
 type UnknownTeamError struct {
 	Team string
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,13 +18,13 @@
 	"trefoilline.example/trefoilline/backend"
 	"trefoilline.example/trefoilline/entry"
 	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/suspect"
 	"trefoilline.example/trefoilline/table"
-	"trefoilline.example/trefoilline/team"
 	"trefoilline.example/trefoilline/ticket"
 )
 
@@ -40,8 +40,7 @@
 
 	reader table.Reader
 	tables table.Follower
-	keys   team.Holder
-	keysOK atomic.Bool
+	keys   keys
 
 	pool     *backend.Pool
 	router   *steer.Router
@@ -54,8 +53,10 @@
 	register *ticket.Register
 	suspects *suspect.List
 	handler  *entry.Handler
+	node     *fleet.Node
+	members  atomic.Pointer[[]fleet.Record]
+	reports  reports
 	peers    peers
-	heard    heard
 
 	machines atomic.Pointer[machineList]
 	blocks   atomic.Pointer[steer.Blocks]
@@ -70,12 +71,13 @@
 	}
 	d := &daemon{
 		settings:    settings,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(time.Now().UnixMilli()),
 		log:         log,
 		measures:    &observe.Measures{},
 		store:       client,
 		directory:   client,
 	}
+	d.wireFleet()
 	d.wireLimits()
 	d.wireSteering()
 	d.wireAdmission()
--- /dev/null
+++ b/internal/daemon/fleet.go
@@ -0,0 +1,214 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/suspect"
+	"trefoilline.example/trefoilline/table"
+	"trefoilline.example/trefoilline/team"
+)
+
+const (
+	// feedPeriod is the time between two looks at what the fleet has spread.
+	feedPeriod = 200 * time.Millisecond
+	// reportPeriod is the time between two reports to the writers of the plan.
+	reportPeriod = time.Second
+)
+
+// The feeds that the fleet follows in the store.
+var (
+	tableFeed = fleet.Feed{
+		Prefix: table.HeadKey,
+	}
+	keysFeed = fleet.Feed{
+		Prefix: team.Prefix,
+		Head:   team.HeadKey,
+	}
+	planFeed = fleet.Feed{
+		Prefix: planKey,
+	}
+)
+
+func (d *daemon) wireFleet() {
+	d.node = &fleet.Node{
+		Self: fleet.Host{
+			Name:    d.settings.Host,
+			Region:  d.settings.Region,
+			Zone:    d.settings.Zone,
+			Address: d.settings.Listen,
+		},
+		Incarnation: d.incarnation,
+		Feeds: []fleet.Feed{
+			tableFeed,
+			keysFeed,
+			planFeed,
+		},
+		Settings: fleet.Settings{
+			ConfirmBound: d.settings.KeysBound,
+		},
+		OnViolation: func(v fleet.Violation) {
+			d.violated("fleet", v.Invariant+": "+v.Feed)
+		},
+	}
+}
+
+// startFleet starts what keeps the view of the fleet.
+func (d *daemon) startFleet(ctx context.Context, start func(func())) {
+	for _, f := range d.node.Feeds {
+		reader := &fleet.Reader{
+			Node:  d.node,
+			Store: d.store,
+			Feed:  f,
+		}
+		start(func() { reader.Run(ctx) })
+	}
+	start(func() { d.tickFleet(ctx) })
+	start(func() { d.followTable(ctx) })
+	start(func() { d.followPlan(ctx) })
+	start(func() { d.reportToPlanners(ctx) })
+}
+
+// tickFleet drives the view of the fleet and lets the other parts follow it.
+func (d *daemon) tickFleet(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.sendFleet(d.node.Tick())
+		d.followMembers()
+		d.takeKeys()
+		pause(ctx, d.node.Interval())
+	}
+}
+
+// sendFleet hands envelopes over for delivery.
+func (d *daemon) sendFleet(envelopes []fleet.Envelope) {
+	for _, e := range envelopes {
+		body, err := fleet.Encode(e.Message)
+		if err != nil {
+			d.log.Write(observe.PeerUnreached, zap.String("peer", e.To.Name), zap.Error(err))
+			continue
+		}
+		d.peers.send(e.To.Name, func(waiting *packet) {
+			waiting.Fleet = append(waiting.Fleet, json.RawMessage(body))
+		})
+	}
+}
+
+// receiveFleet takes the fleet's part of a packet.
+func (d *daemon) receiveFleet(bodies []json.RawMessage) error {
+	for _, body := range bodies {
+		message, err := fleet.Decode(body)
+		if err != nil {
+			return err
+		}
+		d.sendFleet(d.node.Receive(message))
+	}
+	return nil
+}
+
+// followMembers tells the limits and the look-ups who lives.
+func (d *daemon) followMembers() {
+	live := d.node.Live()
+	processes := make([]share.Identity, 0, len(live))
+	for _, r := range live {
+		if r.Leaving {
+			continue
+		}
+		processes = append(processes, share.Identity{
+			Host:        r.Name,
+			Incarnation: r.Incarnation,
+		})
+	}
+	d.limits.SetLive(processes)
+	if before := d.members.Load(); before == nil || !slices.Equal(*before, live) {
+		d.members.Store(&live)
+		d.refreshLookup()
+	}
+}
+
+// lookupHosts returns the entry hosts that callers may be sent to.
+func (d *daemon) lookupHosts() []steer.Host {
+	members := d.members.Load()
+	if members == nil {
+		return nil
+	}
+	hosts := make([]steer.Host, 0, len(*members))
+	for _, r := range *members {
+		hosts = append(hosts, steer.Host{
+			Name:     r.Name,
+			Region:   r.Region,
+			Zone:     r.Zone,
+			Address:  r.Address,
+			Leaving:  r.Leaving,
+			Headroom: 1,
+		})
+	}
+	return hosts
+}
+
+// addressOf returns the address of an entry host.
+func (d *daemon) addressOf(host string) (netip.AddrPort, bool) {
+	if list := d.machines.Load(); list != nil {
+		for _, m := range list.entries {
+			if m.Name == host {
+				return m.Address, true
+			}
+		}
+	}
+	for _, r := range d.node.Members() {
+		if r.Name == host {
+			return r.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// others returns the names of the other hosts that live.
+func (d *daemon) others() []string {
+	members := d.members.Load()
+	if members == nil {
+		return nil
+	}
+	var names []string
+	for _, r := range *members {
+		if r.Name != d.settings.Host {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
+// shareLoss tells all hosts of a backend server lost to a request.
+func (d *daemon) shareLoss(loss suspect.Loss) {
+	for _, name := range d.others() {
+		d.peers.send(name, func(waiting *packet) {
+			waiting.Losses = append(waiting.Losses, loss)
+		})
+	}
+}
+
+// followFeed hands each change of a feed to a function until the context ends.
+// A change that could not be taken in is handed over again.
+func (d *daemon) followFeed(ctx context.Context, feed fleet.Feed, take func(platform.Changes) error) {
+	var after platform.Version
+	for ctx.Err() == nil {
+		if d.node.Version(feed.Prefix) > after {
+			changes := d.node.Changes(feed.Prefix, after)
+			if err := take(changes); err == nil {
+				after = changes.Next
+			} else {
+				pause(ctx, retryPause)
+			}
+		}
+		pause(ctx, feedPeriod)
+	}
+}
--- a/internal/daemon/invariants.go
+++ b/internal/daemon/invariants.go
@@ -31,7 +31,7 @@
 	d.tables.OnViolation = func(v table.Violation) {
 		d.violated("table-versions", fmt.Sprintf("%+v", v))
 	}
-	d.keys.OnViolation = func(v team.Violation) {
+	d.keys.holder.OnViolation = func(v team.Violation) {
 		d.violated("withdrawn-keys", v.Hash.String())
 	}
 }
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,33 +14,53 @@
 	"trefoilline.example/trefoilline/team"
 )
 
-const (
-	// keysWait is how long a watch of the keys waits. An answer confirms the
-	// view as of the time when the watch was sent, so a short wait keeps the
-	// view young.
-	keysWait = time.Second
-	// retryPause is the pause after a failed call to the store.
-	retryPause = 500 * time.Millisecond
-)
+// retryPause is the pause after a failed call.
+const retryPause = 500 * time.Millisecond
+
+// keys is this host's view of the teams' keys.
+type keys struct {
+	holder team.Holder
+
+	mutex sync.Mutex
+	// version is what the holder has of the fleet's feed.
+	version   atomic.Uint64
+	confirmed atomic.Bool
+}
 
-// Verify returns the team of a key, or a [entry.KeysUnconfirmedError] if the view
-// of the keys is older than the bound.
+// Verify returns the team of a key, or an [entry.KeysUnconfirmedError] while the
+// view of the keys may not be acted on. It looks at the clock each time, so a
+// process that was frozen learns of it here.
 func (d *daemon) Verify(text string) (string, error) {
-	view := d.keys.View()
-	age := view.Age(time.Now())
-	if age > d.settings.KeysBound {
-		d.noteKeys(false, age)
+	err := d.node.Confirmation(keysFeed.Prefix)
+	age, _ := d.node.ConfirmedAge(keysFeed.Prefix)
+	d.noteKeys(err == nil, age)
+	if err != nil {
 		return "", &entry.KeysUnconfirmedError{
-			Age: age,
+			Age:   age,
+			Cause: err,
 		}
 	}
-	d.noteKeys(true, age)
-	return view.Verify(text)
+	d.takeKeys()
+	return d.keys.holder.View().Verify(text)
+}
+
+// takeKeys brings the view up to what the fleet has spread.
+func (d *daemon) takeKeys() {
+	version := uint64(d.node.Version(keysFeed.Prefix))
+	if version <= d.keys.version.Load() {
+		return
+	}
+	d.keys.mutex.Lock()
+	defer d.keys.mutex.Unlock()
+	changes := d.node.Changes(keysFeed.Prefix, platform.Version(d.keys.version.Load()))
+	d.keys.holder.Update(changes, time.Now())
+	d.keys.version.Store(uint64(changes.Next))
+	d.log.Write(observe.KeysInForce, zap.Uint64("version", uint64(changes.Next)), zap.Int("keys", d.keys.holder.View().Len()))
 }
 
 // noteKeys logs the change between a confirmed and an unconfirmed view.
 func (d *daemon) noteKeys(confirmed bool, age time.Duration) {
-	if d.keysOK.Swap(confirmed) == confirmed {
+	if d.keys.confirmed.Swap(confirmed) == confirmed {
 		return
 	}
 	if confirmed {
@@ -48,25 +70,6 @@
 	d.log.Write(observe.KeysUnconfirmed, zap.Duration("age", age))
 }
 
-// followKeys keeps the view of the keys young until the context ends.
-func (d *daemon) followKeys(ctx context.Context) {
-	var after platform.Version
-	for ctx.Err() == nil {
-		sent := time.Now()
-		changes, err := d.store.Watch(ctx, team.Prefix, after, keysWait)
-		if err != nil {
-			pause(ctx, retryPause)
-			continue
-		}
-		after = changes.Next
-		d.keys.Update(changes, sent)
-		if len(changes.Objects) > 0 {
-			view := d.keys.View()
-			d.log.Write(observe.KeysInForce, zap.Uint64("version", uint64(view.Version)), zap.Int("keys", view.Len()))
-		}
-	}
-}
-
 // pause waits, or returns early when the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -14,7 +14,7 @@
 func (d *daemon) leave(server *http.Server) error {
 	d.log.Write(observe.LeavingStarted, zap.Int("running", d.handler.Running()))
 	d.leaving.Store(true)
-	d.refreshLookup()
+	d.node.Leave()
 	d.limits.Leave()
 
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
--- a/internal/daemon/lookups.go
+++ b/internal/daemon/lookups.go
@@ -92,7 +92,7 @@
 
 // teamOf returns the team of a key, or none: a look-up needs no key.
 func (d *daemon) teamOf(key string) string {
-	name, err := d.keys.View().Verify(key)
+	name, err := d.keys.holder.View().Verify(key)
 	if err != nil {
 		return ""
 	}
--- a/internal/daemon/machines.go
+++ b/internal/daemon/machines.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,8 +11,12 @@
 	"trefoilline.example/trefoilline/steer"
 )
 
-// machinesPeriod is the time between two reads of the platform's list.
-const machinesPeriod = time.Second
+const (
+	// machinesPeriod is the least time between two reads of the platform's list.
+	machinesPeriod = time.Second
+	// machineReads is how many reads a second all hosts together may make.
+	machineReads = 300
+)
 
 // machineList is one reading of the platform's list.
 type machineList struct {
@@ -27,10 +30,17 @@
 		if err := d.readMachines(ctx); err != nil {
 			d.log.Write(observe.MachinesUnreadable, zap.Error(err))
 		}
-		pause(ctx, machinesPeriod)
+		pause(ctx, d.machinesPause())
 	}
 }
 
+// machinesPause keeps the calls of all hosts together under machineReads a
+// second.
+func (d *daemon) machinesPause() time.Duration {
+	hosts := len(d.working())
+	return max(machinesPeriod, time.Duration(hosts)*time.Second/machineReads)
+}
+
 func (d *daemon) readMachines(ctx context.Context) error {
 	machines, err := d.directory.Machines(ctx)
 	if err != nil {
@@ -46,55 +56,18 @@
 		}
 	}
 	d.machines.Store(list)
+	d.node.SetListed(machines)
 	d.pool.SetMachines(list.backends)
 	d.refreshLimits()
 	d.handler.Wake()
-	d.refreshLookup()
 	return nil
 }
 
 // refreshLookup rebuilds the look-up answers from what is known now.
 func (d *daemon) refreshLookup() {
-	list := d.machines.Load()
 	blocks := d.blocks.Load()
-	if list == nil || blocks == nil {
+	if blocks == nil {
 		return
 	}
-	hosts := make([]steer.Host, 0, len(list.entries))
-	for _, m := range list.entries {
-		if host, usable := d.lookupHost(m); usable {
-			hosts = append(hosts, host)
-		}
-	}
-	d.lookup.Store(steer.NewLookup(hosts, *blocks))
-}
-
-// lookupHost tells whether a listed entry host belongs in look-up answers.
-func (d *daemon) lookupHost(m platform.Machine) (steer.Host, bool) {
-	leaving := m.State == platform.Leaving
-	if m.Name == d.settings.Host && d.leaving.Load() {
-		leaving = true
-	}
-	return steer.Host{
-		Name:     m.Name,
-		Region:   m.Region,
-		Zone:     m.Zone,
-		Address:  m.Address,
-		Leaving:  leaving,
-		Headroom: 1,
-	}, true
-}
-
-// addressOf returns the address of a listed entry host.
-func (d *daemon) addressOf(host string) (netip.AddrPort, bool) {
-	list := d.machines.Load()
-	if list == nil {
-		return netip.AddrPort{}, false
-	}
-	for _, m := range list.entries {
-		if m.Name == host {
-			return m.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
+	d.lookup.Store(steer.NewLookup(d.lookupHosts(), *blocks))
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -35,8 +35,8 @@
 // packet is what one entry host sends another at once.
 type packet struct {
 	From string `json:"from"`
-	// Hello is the sender's process, as a sign of life.
-	Hello *share.Identity `json:"hello,omitempty"`
+	// Fleet holds messages of the view of the fleet.
+	Fleet []json.RawMessage `json:"fleet,omitempty"`
 	// Report is what the sender measured.
 	Report *steer.Report `json:"report,omitempty"`
 	// Losses are backend servers lost to requests.
@@ -46,8 +46,8 @@
 
 // size returns the number of messages.
 func (p packet) size() int {
-	count := len(p.Share) + len(p.Losses)
-	if p.Hello != nil {
+	count := len(p.Share) + len(p.Losses) + len(p.Fleet)
+	if p.Report != nil {
 		count++
 	}
 	return count
@@ -178,8 +178,12 @@
 		http.Error(w, "not a packet: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if in.Hello != nil {
-		d.heard.note(*in.Hello, in.Report, time.Now())
+	if err := d.receiveFleet(in.Fleet); err != nil {
+		http.Error(w, "not a packet: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if in.Report != nil {
+		d.reports.take(*in.Report)
 	}
 	for _, l := range in.Losses {
 		d.suspects.Add(l)
--- a/internal/daemon/plan.go
+++ b/internal/daemon/plan.go
@@ -22,10 +22,6 @@
 	planLeaseKey = "lease/plan"
 	// planPeriod is the time between two looks at the plan by its writer.
 	planPeriod = 2 * time.Second
-	// planWait is how long a watch of the plan waits.
-	planWait = 10 * time.Second
-	// planCandidates is how many hosts try to take the lease.
-	planCandidates = 2
 )
 
 // noStepError ends a fenced write that has nothing to write.
@@ -116,34 +112,21 @@
 
 // followPlan puts each new plan in force until the context ends.
 func (d *daemon) followPlan(ctx context.Context) {
-	reader := lease.Fence{
-		Lease: &lease.Lease{
-			Store: d.store,
-		},
-		Key: planKey,
-	}
-	var after platform.Version
-	for ctx.Err() == nil {
-		changes, err := d.store.Watch(ctx, planKey, after, planWait)
-		if err == nil && len(changes.Objects) > 0 {
-			err = d.loadPlan(ctx, &reader)
+	d.followFeed(ctx, planFeed, func(changes platform.Changes) error {
+		for _, o := range changes.Objects {
+			if err := d.takePlan(o); err != nil {
+				d.log.Write(observe.PlanUnreadable, zap.Error(err))
+			}
 		}
-		if err != nil {
-			pause(ctx, retryPause)
-			continue
-		}
-		after = changes.Next
-	}
+		return nil
+	})
 }
 
-func (d *daemon) loadPlan(ctx context.Context, reader *lease.Fence) error {
-	body, _, err := reader.Read(ctx)
-	if err != nil {
+func (d *daemon) takePlan(object platform.Object) error {
+	body, err := lease.Body(object)
+	if err != nil || len(body) == 0 {
 		return err
 	}
-	if len(body) == 0 {
-		return nil
-	}
 	var plan steer.Plan
 	if err := json.Unmarshal(body, &plan); err != nil {
 		return err
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"trefoilline.example/trefoilline/api/trefoilline/v1/trefoillinev1connect"
+	"trefoilline.example/trefoilline/backend"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/share"
 )
@@ -63,13 +64,14 @@
 func (d *daemon) startLoops(ctx context.Context, loops *sync.WaitGroup) {
 	d.peers.start(ctx)
 	loops.Go(func() { d.followMachines(ctx) })
-	loops.Go(func() { d.followTable(ctx) })
-	loops.Go(func() { d.followKeys(ctx) })
-	loops.Go(func() { d.greet(ctx) })
-	loops.Go(func() { d.followPlan(ctx) })
+	d.startFleet(ctx, loops.Go)
 	loops.Go(func() { d.writePlan(ctx) })
 	loops.Go(func() { d.tickLimits(ctx) })
 	loops.Go(func() { d.refreshAllocation(ctx) })
+	prober := &backend.Prober{
+		Pool: d.pool,
+	}
+	loops.Go(func() { prober.Run(ctx) })
 }
 
 // routes sends the daemon's own calls to their handlers, all else to the
@@ -84,6 +86,7 @@
 	}, connect.WithReadMaxBytes(maxPacket))
 	mux.Handle(path, d.guarded(fleetService))
 	mux.Handle("POST "+peerPath, d.guarded(http.HandlerFunc(d.receivePacket)))
+	mux.Handle("GET "+tablePath, d.guarded(http.HandlerFunc(d.writeObject)))
 	mux.Handle("GET /trefoilline/measures", d.guarded(http.HandlerFunc(d.writeMeasures)))
 	mux.Handle("/", d.handler)
 	return mux
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -11,6 +11,7 @@
 	trefoillinev1 "trefoilline.example/trefoilline/api/trefoilline/v1"
 	"trefoilline.example/trefoilline/backend"
 	"trefoilline.example/trefoilline/entry"
+	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
@@ -29,16 +30,17 @@
 // Status returns the state of this host.
 func (q *fleetQueries) Status(_ context.Context, _ *connect.Request[trefoillinev1.StatusRequest]) (*connect.Response[trefoillinev1.StatusResponse], error) {
 	d := q.daemon
-	view := d.keys.View()
+	age, _ := d.node.ConfirmedAge(keysFeed.Prefix)
 	response := &trefoillinev1.StatusResponse{
 		Host:         d.ownEntry(),
 		Incarnation:  d.incarnation,
 		State:        d.state(),
 		TableVersion: uint64(d.tables.Version()),
-		KeysVersion:  uint64(view.Version),
-		KeysAge:      durationpb.New(view.Age(time.Now())),
+		KeysVersion:  uint64(d.node.Version(keysFeed.Prefix)),
+		KeysAge:      durationpb.New(age),
 		Violations:   d.violations(),
 		Teams:        d.teamStatus(),
+		Peers:        d.peerStatus(),
 	}
 	if snapshot := d.tables.Current(); snapshot != nil {
 		response.Regions = d.regionStatus(&snapshot.Table)
@@ -56,6 +58,37 @@
 	}
 }
 
+// peerStatus lists the other entry hosts as this one knows them.
+func (d *daemon) peerStatus() []*trefoillinev1.PeerStatus {
+	var peers []*trefoillinev1.PeerStatus
+	for _, r := range d.node.Members() {
+		if r.Name == d.settings.Host {
+			continue
+		}
+		peers = append(peers, &trefoillinev1.PeerStatus{
+			Host: &trefoillinev1.EntryHost{
+				Name:    r.Name,
+				Region:  r.Region,
+				Zone:    r.Zone,
+				Address: r.Address.String(),
+			},
+			State: peerState(r),
+		})
+	}
+	return peers
+}
+
+func peerState(r fleet.Record) trefoillinev1.HostState {
+	switch {
+	case r.State != fleet.Alive || r.Incarnation == 0:
+		return trefoillinev1.HostState_HOST_STATE_UNSPECIFIED
+	case r.Leaving:
+		return trefoillinev1.HostState_HOST_STATE_LEAVING
+	default:
+		return trefoillinev1.HostState_HOST_STATE_LIVE
+	}
+}
+
 func (d *daemon) state() trefoillinev1.HostState {
 	switch {
 	case d.leaving.Load():
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -13,33 +11,26 @@
 	"trefoilline.example/trefoilline/table"
 )
 
-// tableWait is how long a watch of the table's head waits.
-const tableWait = 10 * time.Second
-
 // followTable takes each new version of the table until the context ends.
 func (d *daemon) followTable(ctx context.Context) {
-	var after platform.Version
-	for ctx.Err() == nil {
-		changes, err := d.store.Watch(ctx, table.HeadKey, after, tableWait)
-		if err == nil && len(changes.Objects) > 0 {
-			err = d.loadTable(ctx)
-		}
-		if err != nil {
-			d.log.Write(observe.TableUnreadable, zap.Error(err))
-			pause(ctx, retryPause)
-			continue
+	d.followFeed(ctx, tableFeed, func(changes platform.Changes) error {
+		for _, o := range changes.Objects {
+			if err := d.loadTable(ctx, o); err != nil {
+				d.log.Write(observe.TableUnreadable, zap.Error(err))
+				return err
+			}
 		}
-		after = changes.Next
-	}
+		return nil
+	})
 }
 
-// loadTable takes the version that the store has in force, if it is newer.
-func (d *daemon) loadTable(ctx context.Context) error {
-	snapshot, err := d.reader.Load(ctx, d.store)
-	var none *table.NoTableError
-	if errors.As(err, &none) {
-		return nil
+// loadTable takes the version that a head names, if it is newer.
+func (d *daemon) loadTable(ctx context.Context, object platform.Object) error {
+	head, err := table.ParseHead(object.Value)
+	if err != nil || head.Version <= d.tables.Version() {
+		return err
 	}
+	snapshot, err := d.reader.LoadHead(ctx, d.tableSource(ctx), head)
 	if err != nil {
 		return err
 	}
--- a/lease/fence.go
+++ b/lease/fence.go
@@ -137,15 +137,30 @@
 	if err != nil {
 		return fenced{}, 0, err
 	}
+	found, err := decode(object)
+	if err != nil {
+		return fenced{}, 0, err
+	}
+	f.observe(found.Epoch)
+	return found, object.Version, nil
+}
+
+func decode(object platform.Object) (fenced, error) {
 	var found fenced
 	if err := json.Unmarshal(object.Value, &found); err != nil {
-		return fenced{}, 0, &RecordError{
-			Key:   f.Key,
+		return fenced{}, &RecordError{
+			Key:   object.Key,
 			Cause: err,
 		}
 	}
-	f.observe(found.Epoch)
-	return found, object.Version, nil
+	return found, nil
+}
+
+// Body returns the body of a guarded object, for readers that learn of it in
+// another way than [Fence.Read]. Errors are a [RecordError].
+func Body(object platform.Object) ([]byte, error) {
+	found, err := decode(object)
+	return found.Body, err
 }
 
 // observe asserts that the object's epoch never goes back.
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -43,7 +43,7 @@
 		Name:   "settings-refused",
 		Level:  zapcore.ErrorLevel,
 		Fields: []string{
-			"cause",
+			"error",
 		},
 		Cause:  "A setting is missing or not acceptable; the daemon does not start.",
 		Action: "Mend the settings named in the cause; trefoillined check shows them all.",
@@ -64,7 +64,7 @@
 		Name:   "table-unreadable",
 		Level:  zapcore.WarnLevel,
 		Fields: []string{
-			"cause",
+			"error",
 		},
 		Cause:  "The store did not answer, or a version of the table could not be read; the last good version stays in force.",
 		Action: "Look at the store; if the cause names a version, publish it again with trefoilline table restore.",
@@ -111,13 +111,23 @@
 		Cause:  "The host took a new step of the plan that moves weights towards the table's.",
 		Action: "None.",
 	}
+	PlanUnreadable = Event{
+		Number: 206,
+		Name:   "plan-unreadable",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"error",
+		},
+		Cause:  "The plan in the store could not be read; the last good one stays in force.",
+		Action: "Report it; the next step of the plan replaces it.",
+	}
 	PeerUnreached = Event{
 		Number: 300,
 		Name:   "peer-unreached",
 		Level:  zapcore.DebugLevel,
 		Fields: []string{
 			"peer",
-			"cause",
+			"error",
 		},
 		Cause:  "A message to another entry host was not delivered.",
 		Action: "None for a single one; the fleet's view decides whether the host is lost.",
@@ -127,7 +137,7 @@
 		Name:   "machines-unreadable",
 		Level:  zapcore.WarnLevel,
 		Fields: []string{
-			"cause",
+			"error",
 		},
 		Cause:  "The platform's list of machines could not be read; the last list stays in use.",
 		Action: "Look at the platform.",
@@ -137,7 +147,7 @@
 		Name:   "allocation-unwritten",
 		Level:  zapcore.DebugLevel,
 		Fields: []string{
-			"cause",
+			"error",
 		},
 		Cause:  "The division of limits could not be read or written; the last one stands.",
 		Action: "Look at the store if it lasts.",
@@ -147,7 +157,7 @@
 		Name:   "plan-unwritten",
 		Level:  zapcore.DebugLevel,
 		Fields: []string{
-			"cause",
+			"error",
 		},
 		Cause:  "The plan of weights could not be read or written; the last one stands.",
 		Action: "Look at the store if it lasts.",
@@ -189,7 +199,7 @@
 		Fields: []string{
 			"request",
 			"server",
-			"cause",
+			"error",
 		},
 		Cause:  "A backend server's answer ended early; the caller's connection was broken so that it cannot be taken for whole.",
 		Action: "If many name one backend server, look at it.",
@@ -232,6 +242,7 @@
 		KeysUnconfirmed,
 		KeysConfirmed,
 		PlanInForce,
+		PlanUnreadable,
 		PeerUnreached,
 		MachinesUnreadable,
 		AllocationUnwritten,
--- a/team/issue.go
+++ b/team/issue.go
@@ -49,6 +49,9 @@
 	if err := o.create(ctx, record); err != nil {
 		return Key{}, Record{}, err
 	}
+	if err := o.announce(ctx, record.Hash); err != nil {
+		return Key{}, Record{}, err
+	}
 	return key, record, nil
 }
 
@@ -94,7 +97,24 @@
 		record, err = o.withdraw(ctx, hash)
 		return err
 	})
-	return record, err
+	if err != nil {
+		return record, err
+	}
+	return record, o.announce(ctx, hash)
+}
+
+// announce writes the head, which ends a change of a record: hosts that see a
+// head newer than their view know that a watch of theirs lags.
+func (o *Office) announce(ctx context.Context, hash Hash) error {
+	attempts := retrier{
+		hash: hash,
+		// The record itself is written, so a failure here is no refusal.
+		uncertain: true,
+	}
+	return attempts.run(ctx, func() error {
+		_, err := o.Store.Put(ctx, HeadKey, []byte(hash.String()), platform.Always{})
+		return err
+	})
 }
 
 func (o *Office) withdraw(ctx context.Context, hash Hash) (Record, error) {
--- a/team/record.go
+++ b/team/record.go
@@ -11,6 +11,10 @@
 // Prefix starts the keys of the store under which the records lie.
 const Prefix = "keys/"
 
+// HeadKey is written after each change of a record, so that its version is that
+// of the last change or later.
+const HeadKey = "keys-head"
+
 // Record is what the store holds of a key. A withdrawn record is a tombstone:
 // it stays, and stays withdrawn.
 type Record struct {
