--- a/entry/errors.go
+++ b/entry/errors.go
@@ -26,12 +26,16 @@
 type KeysUnconfirmedError struct {
 	// Age is the time since the view of the keys was confirmed.
 	Age time.Duration
+	// Cause is the error of the view; it may be nil.
+	Cause error
 }
 
 func (e *KeysUnconfirmedError) Error() string {
 	return fmt.Sprintf("keys were last confirmed %v ago; use another entry host", e.Age.Round(time.Millisecond))
 }
 
+func (e *KeysUnconfirmedError) Unwrap() error { return e.Cause }
+
 // UnknownTeamError reports a key whose team is not in the table.
 type UnknownTeamError struct {
 	Team string
@@ -64,30 +68,13 @@
 	return fmt.Sprintf("this entry host cannot tell its part of the rate of team %q; use another entry host", e.Team)
 }
 
-// NotRunError reports that no backend server ran the request.
-type NotRunError struct {
-	Reason string
-	Cause  error
-}
-
-func (e *NotRunError) Error() string {
-	if e.Cause == nil {
-		return "a backend server refused the request: " + e.Reason
-	}
-	return fmt.Sprintf("the request was not run: %v", e.Cause)
-}
-
-func (e *NotRunError) Unwrap() error { return e.Cause }
-
-// UnknownOutcomeError reports that the request may have run.
-type UnknownOutcomeError struct {
-	Reason string
-	Server string
-	Cause  error
+// BodyError reports a request whose body could not be read.
+type BodyError struct {
+	Cause error
 }
 
-func (e *UnknownOutcomeError) Error() string {
-	return fmt.Sprintf("the request may have run: %v", e.Cause)
+func (e *BodyError) Error() string {
+	return fmt.Sprintf("the body of the request could not be read: %v", e.Cause)
 }
 
-func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+func (e *BodyError) Unwrap() error { return e.Cause }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,15 +14,18 @@
 	"sync/atomic"
 	"time"
 
+	"trefoilline.example/trefoilline/admission"
 	"trefoilline.example/trefoilline/backend"
 	"trefoilline.example/trefoilline/entry"
 	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/suspect"
 	"trefoilline.example/trefoilline/table"
-	"trefoilline.example/trefoilline/team"
+	"trefoilline.example/trefoilline/ticket"
 )
 
 // daemon is one run of an entry host.
@@ -37,15 +40,23 @@
 
 	reader table.Reader
 	tables table.Follower
-	keys   team.Holder
-	keysOK atomic.Bool
+	keys   keys
 
-	pool    *backend.Pool
-	limits  *share.Holder
-	keeper  *share.Keeper
-	handler *entry.Handler
-	peers   peers
-	heard   heard
+	pool     *backend.Pool
+	router   *steer.Router
+	plan     atomic.Pointer[steer.Plan]
+	limits   *share.Holder
+	slots    slots
+	keeper   *share.Keeper
+	client   *exchange.Client
+	desk     *admission.Desk
+	register *ticket.Register
+	suspects *suspect.List
+	handler  *entry.Handler
+	node     *fleet.Node
+	members  atomic.Pointer[[]fleet.Record]
+	reports  reports
+	peers    peers
 
 	machines atomic.Pointer[machineList]
 	blocks   atomic.Pointer[steer.Blocks]
@@ -60,15 +71,18 @@
 	}
 	d := &daemon{
 		settings:    settings,
-		incarnation: uint64(time.Now().UnixNano()),
+		incarnation: uint64(time.Now().UnixMilli()),
 		log:         log,
 		measures:    &observe.Measures{},
 		store:       client,
 		directory:   client,
 	}
-	d.wireInvariants()
+	d.wireFleet()
 	d.wireLimits()
+	d.wireSteering()
+	d.wireAdmission()
 	d.wireHandler()
+	d.wireInvariants()
 	d.peers.host = settings.Host
 	d.peers.address = d.addressOf
 	d.peers.secret = settings.FleetSecret
@@ -86,20 +100,50 @@
 		Holder: d.limits,
 		Store:  d.store,
 	}
+	d.slots.limits = d.limits
 }
 
-func (d *daemon) wireHandler() {
-	d.handler = &entry.Handler{
-		Host:   d.settings.Host,
+func (d *daemon) wireSteering() {
+	d.pool = &backend.Pool{
+		Slots: &d.slots,
+	}
+	d.router = &steer.Router{
 		Region: d.settings.Region,
-		Keys:   d,
-		Pool:   d.pool,
-		Client: &exchange.Client{
-			Violated: func(v exchange.Violation) {
-				d.violated("sent-once", v.Request)
-			},
+		Limits: &tokens{
+			limits: d.limits,
+		},
+	}
+}
+
+// wireAdmission sets up what lets a request run at most once.
+func (d *daemon) wireAdmission() {
+	d.client = &exchange.Client{}
+	d.register = &ticket.Register{
+		Host: d.settings.Listen,
+	}
+	d.desk = &admission.Desk{
+		Register: d.register,
+		Claims: &ticket.Claims{
+			Store: d.store,
 		},
+		Send: d.client.Send,
+	}
+	d.suspects = &suspect.List{
+		Share: d.shareLoss,
+	}
+}
+
+func (d *daemon) wireHandler() {
+	d.handler = &entry.Handler{
+		Host:     d.settings.Host,
+		Region:   d.settings.Region,
+		Keys:     d,
+		Pool:     d.pool,
+		Router:   d.router,
+		Client:   d.client,
 		Limits:   d.limits,
+		Desk:     d.desk,
+		Suspects: d.suspects,
 		Deadline: d.settings.RequestDeadline,
 		Log:      d.log,
 		Measures: d.measures,
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -16,6 +16,8 @@
 	"trefoilline.example/trefoilline/header"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/suspect"
 )
 
 const (
@@ -33,17 +35,22 @@
 // packet is what one entry host sends another at once.
 type packet struct {
 	From string `json:"from"`
-	// Hello is the sender's process, as a sign of life.
-	Hello *share.Identity  `json:"hello,omitempty"`
-	Share []share.Envelope `json:"share,omitempty"`
+	// Fleet holds messages of the view of the fleet.
+	Fleet []json.RawMessage `json:"fleet,omitempty"`
+	// Report is what the sender measured.
+	Report *steer.Report `json:"report,omitempty"`
+	// Losses are backend servers lost to requests.
+	Losses []suspect.Loss   `json:"losses,omitempty"`
+	Share  []share.Envelope `json:"share,omitempty"`
 }
 
 // size returns the number of messages.
 func (p packet) size() int {
-	if p.Hello != nil {
-		return len(p.Share) + 1
+	count := len(p.Share) + len(p.Losses) + len(p.Fleet)
+	if p.Report != nil {
+		count++
 	}
-	return len(p.Share)
+	return count
 }
 
 // peers carries messages to other entry hosts. Messages may be lost.
@@ -171,12 +178,22 @@
 		http.Error(w, "not a packet: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if in.Hello != nil {
-		d.heard.note(*in.Hello, time.Now())
+	if err := d.receiveFleet(in.Fleet); err != nil {
+		http.Error(w, "not a packet: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if in.Report != nil {
+		d.reports.take(*in.Report)
+	}
+	for _, l := range in.Losses {
+		d.suspects.Add(l)
 	}
 	for _, e := range in.Share {
 		d.peers.sendShare(d.limits.Receive(e.Message))
 	}
+	if len(in.Share) > 0 {
+		d.handler.Wake()
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -11,6 +11,7 @@
 	trefoillinev1 "trefoilline.example/trefoilline/api/trefoilline/v1"
 	"trefoilline.example/trefoilline/backend"
 	"trefoilline.example/trefoilline/entry"
+	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
@@ -29,20 +30,21 @@
 // Status returns the state of this host.
 func (q *fleetQueries) Status(_ context.Context, _ *connect.Request[trefoillinev1.StatusRequest]) (*connect.Response[trefoillinev1.StatusResponse], error) {
 	d := q.daemon
-	view := d.keys.View()
+	age, _ := d.node.ConfirmedAge(keysFeed.Prefix)
 	response := &trefoillinev1.StatusResponse{
 		Host:         d.ownEntry(),
 		Incarnation:  d.incarnation,
 		State:        d.state(),
 		TableVersion: uint64(d.tables.Version()),
-		KeysVersion:  uint64(view.Version),
-		KeysAge:      durationpb.New(view.Age(time.Now())),
+		KeysVersion:  uint64(d.node.Version(keysFeed.Prefix)),
+		KeysAge:      durationpb.New(age),
 		Violations:   d.violations(),
 		Teams:        d.teamStatus(),
+		Peers:        d.peerStatus(),
 	}
 	if snapshot := d.tables.Current(); snapshot != nil {
 		response.Regions = d.regionStatus(&snapshot.Table)
-		response.Routes = routeStatus(&snapshot.Table)
+		response.Routes = d.routeStatus(&snapshot.Table)
 	}
 	return connect.NewResponse(response), nil
 }
@@ -56,6 +58,37 @@
 	}
 }
 
+// peerStatus lists the other entry hosts as this one knows them.
+func (d *daemon) peerStatus() []*trefoillinev1.PeerStatus {
+	var peers []*trefoillinev1.PeerStatus
+	for _, r := range d.node.Members() {
+		if r.Name == d.settings.Host {
+			continue
+		}
+		peers = append(peers, &trefoillinev1.PeerStatus{
+			Host: &trefoillinev1.EntryHost{
+				Name:    r.Name,
+				Region:  r.Region,
+				Zone:    r.Zone,
+				Address: r.Address.String(),
+			},
+			State: peerState(r),
+		})
+	}
+	return peers
+}
+
+func peerState(r fleet.Record) trefoillinev1.HostState {
+	switch {
+	case r.State != fleet.Alive || r.Incarnation == 0:
+		return trefoillinev1.HostState_HOST_STATE_UNSPECIFIED
+	case r.Leaving:
+		return trefoillinev1.HostState_HOST_STATE_LEAVING
+	default:
+		return trefoillinev1.HostState_HOST_STATE_LIVE
+	}
+}
+
 func (d *daemon) state() trefoillinev1.HostState {
 	switch {
 	case d.leaving.Load():
@@ -128,10 +161,10 @@
 	return regions
 }
 
-func routeStatus(current *table.Table) []*trefoillinev1.RouteStatus {
+func (d *daemon) routeStatus(current *table.Table) []*trefoillinev1.RouteStatus {
 	routes := make([]*trefoillinev1.RouteStatus, 0, len(current.Routes))
 	for _, r := range current.Routes {
-		effective := steer.TableWeights(r, current.Drains, time.Now())
+		effective := d.effectiveWeights(r, current.Drains)
 		status := &trefoillinev1.RouteStatus{
 			Route: r.Name,
 		}
@@ -147,6 +180,17 @@
 	return routes
 }
 
+// effectiveWeights returns the weights that the plan has in effect, or those of
+// the table if there is no plan yet.
+func (d *daemon) effectiveWeights(route table.Route, drains []table.Drain) steer.Weights {
+	if plan := d.plan.Load(); plan != nil {
+		if r, found := plan.Route(route.Name); found {
+			return r.Effective
+		}
+	}
+	return steer.TableWeights(route, drains, time.Now())
+}
+
 // addServer adds one backend server to the sum of its region.
 func addServer(sum *trefoillinev1.RegionStatus, s backend.View) {
 	sum.Servers++
