--- a/backend/choose.go
+++ b/backend/choose.go
@@ -11,7 +11,7 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	g := p.groups[place{service, region}]
-	if g == nil || g.accepting() == 0 {
+	if g == nil {
 		return nil, &NoServerError{
 			Service: service,
 			Region:  region,
@@ -24,6 +24,12 @@
 		}
 	}
 	s := p.pick(g, now)
+	if s == nil && g.accepting() == 0 {
+		return nil, &NoServerError{
+			Service: service,
+			Region:  region,
+		}
+	}
 	if s == nil || !p.acquire(service, region) {
 		return nil, &NoSlotError{
 			Service: service,
@@ -40,6 +46,9 @@
 	if s := p.first(g.homes, func(s *server) bool { return s.running < s.home && s.open(now) }); s != nil {
 		return s
 	}
+	if len(g.servers) == 0 {
+		return nil
+	}
 	var best *server
 	for range sampleSize {
 		s := g.servers[p.intN(len(g.servers))]
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -41,6 +41,8 @@
 	held int
 	// top is the team that holds the most for its weight; nil if none holds.
 	top *team[T]
+	// holding has the teams that hold grants.
+	holding []*team[T]
 	// active is the sum of the weights of the teams seen of late.
 	active      float64
 	activeSince time.Time
--- a/queue/reserve.go
+++ b/queue/reserve.go
@@ -29,14 +29,15 @@
 }
 
 // eligible reports whether the team may get a grant: it is not the top team,
-// or it holds no more than its part of the capacity, or the reserve stays
-// whole. The part of a team that is alone is the whole.
+// or it holds about its part of the capacity, or the reserve stays whole. The
+// part of a team that is alone is the whole. One more than the part is allowed,
+// since a grant that is about to be released may be free already.
 func (q *Queue[T]) eligible(t *team[T]) bool {
 	if q.Capacity == nil || t != q.top || q.active <= t.weight {
 		return true
 	}
 	capacity := q.Capacity()
-	if float64(t.held)*q.active <= float64(capacity)*t.weight {
+	if float64(t.held-1)*q.active <= float64(capacity)*t.weight {
 		return true
 	}
 	reserve := (capacity + reserveShare/2) / reserveShare
@@ -45,6 +46,10 @@
 
 // raiseTop notes that the team holds one more.
 func (q *Queue[T]) raiseTop(t *team[T]) {
+	if t.held == 1 {
+		t.holds = len(q.holding)
+		q.holding = append(q.holding, t)
+	}
 	if q.top == nil || t.part() > q.top.part() {
 		q.top = t
 	}
@@ -52,14 +57,18 @@
 
 // lowerTop notes that the team holds one less.
 func (q *Queue[T]) lowerTop(t *team[T]) {
+	if t.held == 0 {
+		last := q.holding[len(q.holding)-1]
+		q.holding[t.holds] = last
+		last.holds = t.holds
+		q.holding = q.holding[:len(q.holding)-1]
+	}
 	if t != q.top {
 		return
 	}
-	if t.held == 0 {
-		q.top = nil
-	}
-	for _, other := range q.teams {
-		if other.held > 0 && (q.top == nil || other.part() > q.top.part()) {
+	q.top = nil
+	for _, other := range q.holding {
+		if q.top == nil || other.part() > q.top.part() {
 			q.top = other
 		}
 	}
--- a/queue/team.go
+++ b/queue/team.go
@@ -28,6 +28,8 @@
 	// held is how many grants the team holds.
 	held int
 	line []*waiter[T]
+	// holds is the place among the teams that hold grants.
+	holds int
 	// seen is when its last request came.
 	seen time.Time
 	// at is the place among the waiting teams; -1 if none of its requests
--- /dev/null
+++ b/steer/bench_test.go
@@ -0,0 +1,196 @@
+package steer_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/table"
+)
+
+// clientBlocks makes blocks of /16 to /24, one in ten of them IPv6.
+func clientBlocks(count int) []table.ClientBlock {
+	random := rand.New(rand.NewPCG(1, 1))
+	blocks := make([]table.ClientBlock, 0, count)
+	for i := range count {
+		var address [4]byte
+		binary.BigEndian.PutUint32(address[:], random.Uint32())
+		prefix := netip.PrefixFrom(netip.AddrFrom4(address), 16+random.IntN(9))
+		if i%10 == 0 {
+			var long [16]byte
+			binary.BigEndian.PutUint64(long[:], 0x2001<<48|random.Uint64()>>16)
+			prefix = netip.PrefixFrom(netip.AddrFrom16(long), 32+random.IntN(17))
+		}
+		blocks = append(blocks, table.ClientBlock{
+			Prefix: prefix,
+			Region: regionNames[random.IntN(len(regionNames))],
+		})
+	}
+	return blocks
+}
+
+func clients() []netip.Addr {
+	random := rand.New(rand.NewPCG(2, 2))
+	list := make([]netip.Addr, 0, 4096)
+	for range 4096 {
+		var address [4]byte
+		binary.BigEndian.PutUint32(address[:], random.Uint32())
+		list = append(list, netip.AddrFrom4(address))
+	}
+	return list
+}
+
+// BenchmarkBlocks measures the region of a client, and the memory of the index
+// per block.
+func BenchmarkBlocks(b *testing.B) {
+	for _, count := range []int{1000, 31_000, 310_000} {
+		b.Run(fmt.Sprintf("blocks=%d", count), func(b *testing.B) {
+			blocks := clientBlocks(count)
+			before := heapBytes()
+			index := steer.NewBlocks(blocks)
+			used := heapBytes() - before
+			runtime.KeepAlive(blocks)
+			list := clients()
+			at := 0
+			for b.Loop() {
+				at = (at + 1) % len(list)
+				index.Region(list[at])
+			}
+			b.ReportMetric(float64(used)/float64(count), "B/block")
+			b.ReportMetric(float64(used)/(1<<20), "MB")
+		})
+	}
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkNewBlocks measures the index of a new table.
+func BenchmarkNewBlocks(b *testing.B) {
+	for _, count := range []int{1000, 31_000, 310_000} {
+		b.Run(fmt.Sprintf("blocks=%d", count), func(b *testing.B) {
+			blocks := clientBlocks(count)
+			for b.Loop() {
+				steer.NewBlocks(blocks)
+			}
+		})
+	}
+}
+
+// BenchmarkAnswer measures a look-up by the number of hosts, with 310,000
+// client blocks.
+func BenchmarkAnswer(b *testing.B) {
+	blocks := steer.NewBlocks(clientBlocks(310_000))
+	for _, count := range []int{7, 65, 650} {
+		b.Run(fmt.Sprintf("hosts=%d", count), func(b *testing.B) {
+			l := steer.NewLookup(entryHosts(count), blocks)
+			list := clients()
+			at := 0
+			for b.Loop() {
+				at = (at + 1) % len(list)
+				_, err := l.Answer(steer.Question{
+					Client: list[at],
+					Team:   "osu-school",
+				})
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkDecide measures the choice of a region by the number of regions, at
+// rest and while a region is drained.
+func BenchmarkDecide(b *testing.B) {
+	for _, count := range []int{3, 12, 48} {
+		for _, moving := range []bool{false, true} {
+			b.Run(fmt.Sprintf("regions=%d/moving=%v", count, moving), func(b *testing.B) {
+				var even, drained steer.Weights
+				for i := range count {
+					w := table.Weight{
+						Region: fmt.Sprintf("region-%02d", i),
+						Weight: 1,
+					}
+					even = append(even, w)
+					drained = append(drained, w)
+				}
+				if moving {
+					drained[0].Weight = 0
+				}
+				r := &steer.Router{}
+				r.SetPlan(steer.Plan{
+					Step: 1,
+					Routes: []steer.RoutePlan{
+						{
+							Route:     "storefront",
+							Settled:   even,
+							Effective: drained,
+						},
+					},
+				})
+				point := steer.Point(0)
+				for b.Loop() {
+					point += 0x9e3779b97f4a7c15
+					_, err := r.Decide(steer.Request{
+						Route: "storefront",
+						Team:  "osu-school",
+						Point: point,
+					})
+					if err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkNext measures a step of the plan by the number of routes.
+func BenchmarkNext(b *testing.B) {
+	for _, count := range []int{2, 20, 200} {
+		b.Run(fmt.Sprintf("routes=%d", count), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			current := table.Table{
+				Version: 1,
+			}
+			for i := range count {
+				current.Routes = append(current.Routes, table.Route{
+					Name:    fmt.Sprintf("route-%d", i),
+					Weights: weights(1, 2, 3),
+				})
+			}
+			plan, _ := steer.Next(steer.Plan{}, current, steer.Measurements{}, now)
+			current.Drains = []table.Drain{
+				{
+					Region: "accra",
+					Start:  now,
+					End:    now.Add(time.Hour),
+				},
+			}
+			m := steer.Measurements{}
+			for i := range 7 {
+				name := fmt.Sprintf("entry-%d", i)
+				m.Hosts = append(m.Hosts, name)
+				m.Reports = append(m.Reports, steer.Report{
+					Host:  name,
+					Taken: now,
+					Step:  plan.Step,
+					Held:  true,
+				})
+			}
+			for b.Loop() {
+				steer.Next(plan, current, m, now)
+			}
+		})
+	}
+}
