--- /dev/null
+++ b/steer/shared.go
@@ -0,0 +1,74 @@
+package steer
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"trefoilline.example/trefoilline/backend"
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/table"
+)
+
+// Shared is the [Limits] that the host's holder has a part of.
+type Shared struct {
+	Holder *share.Holder
+}
+
+// Take takes tokens from the holder. A limit that the table lacks denies all,
+// since nothing may cross where there is no link.
+func (s Shared) Take(name string, count float64) Taken {
+	switch d := s.Holder.Take(name, count).(type) {
+	case share.Granted:
+		return Granted{}
+	case share.Refused:
+		return Denied{
+			RetryAfter: d.Retry,
+		}
+	default:
+		return Denied{}
+	}
+}
+
+// FleetLimits returns the limits of the links, the shift caps and the regions'
+// slots. The longest is how long a request may run on a backend server.
+func FleetLimits(t table.Table, machines []platform.Machine, longest time.Duration) []share.Limit {
+	limits := make([]share.Limit, 0, 2*len(t.Links))
+	for _, l := range t.Links {
+		limits = append(limits, rateLimit(LinkLimit(l.From, l.To), l.Rate, l.Burst))
+		limits = append(limits, rateLimit(ShiftLimit(l.From, l.To), l.ShiftCap, l.ShiftCap*ShiftBurst.Seconds()))
+	}
+	return append(limits, slotLimits(machines, longest)...)
+}
+
+func rateLimit(name string, perSecond, burst float64) share.Limit {
+	return share.Limit{
+		Name: name,
+		Kind: share.Rate{
+			PerSecond: perSecond,
+			Burst:     max(burst, 1),
+		},
+	}
+}
+
+// slotLimits adds up the slots of the servers that are not leaving.
+func slotLimits(machines []platform.Machine, longest time.Duration) []share.Limit {
+	counts := make(map[string]int)
+	for _, m := range machines {
+		if m.Kind == platform.BackendServer && m.State == platform.Live {
+			counts[backend.SlotLimit(m.Service, m.Region)] += m.Slots
+		}
+	}
+	limits := make([]share.Limit, 0, len(counts))
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		limits = append(limits, share.Limit{
+			Name: name,
+			Kind: share.Slots{
+				Count:   float64(counts[name]),
+				Longest: longest,
+			},
+		})
+	}
+	return limits
+}
--- /dev/null
+++ b/steer/shared_test.go
@@ -0,0 +1,69 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/table"
+)
+
+func TestFleetLimits(t *testing.T) {
+	server := platform.Machine{
+		Kind:    platform.BackendServer,
+		Region:  "accra",
+		State:   platform.Live,
+		Service: "storefront",
+		Slots:   4,
+	}
+	leaving := server
+	leaving.State = platform.Leaving
+	current := table.Table{
+		Links: []table.Link{
+			{
+				From:     "accra",
+				To:       "kumasi",
+				Rate:     200,
+				Burst:    50,
+				ShiftCap: 20,
+			},
+		},
+	}
+	limits := steer.FleetLimits(current, []platform.Machine{server, server, leaving}, time.Minute)
+	require.Equal(t, []share.Limit{
+		{
+			Name: "link/accra/kumasi",
+			Kind: share.Rate{
+				PerSecond: 200,
+				Burst:     50,
+			},
+		},
+		{
+			Name: "shift/accra/kumasi",
+			Kind: share.Rate{
+				PerSecond: 20,
+				Burst:     20,
+			},
+		},
+		{
+			Name: "slots/storefront/accra",
+			Kind: share.Slots{
+				Count:   8,
+				Longest: time.Minute,
+			},
+		},
+	}, limits)
+}
+
+func TestLimitThatTheTableLacksDenies(t *testing.T) {
+	limits := steer.Shared{
+		Holder: &share.Holder{
+			Host: "entry-0",
+		},
+	}
+	require.Equal(t, steer.Denied{}, limits.Take("shift/accra/kumasi", 1))
+}
