Take slots and caps from the shared holder by the packages' own adapters

Cause: the daemon had adapters of its own for slots, links and caps, which the packages backend and steer now offer with their proofs; and a request with a long deadline of its own could outlive the time for which its slot is lent.

--- a/entry/call.go
+++ b/entry/call.go
@@ -106,11 +106,12 @@
 	if err != nil {
 		return err
 	}
-	if left == 0 {
-		left = c.handler.Deadline
+	longest := c.handler.Deadline
+	if longest == 0 {
+		longest = DefaultDeadline
 	}
-	if left == 0 {
-		left = DefaultDeadline
+	if left == 0 || left > longest {
+		left = longest
 	}
 	c.deadline = c.start.Add(left)
 	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), c.deadline)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -43,8 +43,8 @@
 )
 
 const (
-	// DefaultDeadline bounds requests that state no deadline.
-	DefaultDeadline = 30 * time.Second
+	// DefaultDeadline bounds requests if a handler sets no bound.
+	DefaultDeadline = time.Minute
 	// MaxBuffered is the largest body, in bytes, that is kept in memory so that
 	// an idempotent request can be sent again.
 	MaxBuffered = 64 << 10
@@ -71,7 +71,8 @@
 	Desk *admission.Desk
 	// Suspects knows the requests that backend servers die of; it may be nil.
 	Suspects *suspect.List
-	// Deadline bounds requests that state none; [DefaultDeadline] if zero.
+	// Deadline bounds every request, since a region's slots are lent for no
+	// longer; [DefaultDeadline] if zero.
 	Deadline time.Duration
 	// Clock returns the time; nil means time.Now.
 	Clock    func() time.Time
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,6 @@
 	router   *steer.Router
 	plan     atomic.Pointer[steer.Plan]
 	limits   *share.Holder
-	slots    slots
 	keeper   *share.Keeper
 	client   *exchange.Client
 	desk     *admission.Desk
@@ -100,17 +99,18 @@
 		Holder: d.limits,
 		Store:  d.store,
 	}
-	d.slots.limits = d.limits
 }
 
 func (d *daemon) wireSteering() {
 	d.pool = &backend.Pool{
-		Slots: &d.slots,
+		Slots: &backend.Shared{
+			Holder: d.limits,
+		},
 	}
 	d.router = &steer.Router{
 		Region: d.settings.Region,
-		Limits: &tokens{
-			limits: d.limits,
+		Limits: steer.Shared{
+			Holder: d.limits,
 		},
 	}
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -36,7 +36,7 @@
 	defaultKeysBound       = 4 * time.Second
 	minKeysBound           = time.Second
 	maxKeysBound           = 5 * time.Second
-	defaultRequestDeadline = 30 * time.Second
+	defaultRequestDeadline = time.Minute
 	maxRequestDeadline     = 10 * time.Minute
 	defaultDrainLimit      = time.Minute
 	maxDrainLimit          = time.Hour
@@ -64,7 +64,7 @@
 	// KeysBound is the age of the view of keys above which keyed requests are
 	// refused.
 	KeysBound time.Duration
-	// RequestDeadline bounds requests that carry no deadline of their own.
+	// RequestDeadline bounds every request.
 	RequestDeadline time.Duration
 	// DrainLimit bounds the wait for running requests when the daemon stops.
 	DrainLimit time.Duration
@@ -82,7 +82,7 @@
 	flags.String(settingFleetSecret, "", "secret shared by entry hosts and operators, 16 characters or more")
 	flags.Duration(settingLookUpValidity, defaultLookUpValidity, "how long callers may use a look-up answer, 1s to 1m")
 	flags.Duration(settingKeysBound, defaultKeysBound, "age of the view of keys above which keyed requests are refused, 1s to 5s")
-	flags.Duration(settingRequestDeadline, defaultRequestDeadline, "bound on requests that carry no deadline, up to 10m")
+	flags.Duration(settingRequestDeadline, defaultRequestDeadline, "longest time that a request may take, up to 10m")
 	flags.Duration(settingDrainLimit, defaultDrainLimit, "longest wait for running requests at a stop, up to 1h")
 	flags.String(settingLogLevel, "info", "least level to log: debug, info, warn or error")
 	flags.String(settingLogFormat, logFormatJSON, "format of the log: json or console")
