--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -223,3 +223,12 @@
 	}
 	return read(response, body)
 }
+
+// Ask sends one request straight to an entry host, without a look-up.
+func Ask(ctx context.Context, host netip.AddrPort, key string, request Request) Result {
+	c := Caller{
+		Key:    key,
+		Client: http.DefaultClient,
+	}
+	return c.attempt(ctx, host, "", request)
+}
