Tell callers a shorter time than names are remembered for

**Cause** Names could be taken into use for five minutes, so a host that left left unused ones behind, whose requests were unknown though nothing had run.

**Change** Validity is the time in which callers may begin to use names, a minute unless set; Repeat is how long they are admitted and remembered after that, five minutes unless set. A host that leaves waits out the first.

--- a/ticket/register.go
+++ b/ticket/register.go
@@ -10,8 +10,10 @@
 
 // The settings of a register that are not set.
 const (
-	// DefaultValidity is how long an issued name can be admitted.
-	DefaultValidity = 5 * time.Minute
+	// DefaultValidity is how long a caller may begin to use issued names.
+	DefaultValidity = time.Minute
+	// DefaultRepeat is how long after that a request can be sent again.
+	DefaultRepeat = 5 * time.Minute
 	// DefaultLimit is how many names are remembered at once.
 	DefaultLimit = 500_000
 )
@@ -33,9 +35,12 @@
 	Incarnation Incarnation
 	// Secret makes codes; random if zero. It never leaves the process.
 	Secret [secretSize]byte
-	// Validity is how long names can be admitted; [DefaultValidity] if zero.
-	// It is rounded up to whole seconds.
+	// Validity is how long callers may begin to use names; [DefaultValidity] if
+	// zero. A host that leaves waits so long, so that no unused names are left.
 	Validity time.Duration
+	// Repeat is how long after that names are admitted and remembered, for
+	// requests that are sent again; [DefaultRepeat] if zero.
+	Repeat time.Duration
 	// Limit is how many names are remembered; [DefaultLimit] if zero. At the
 	// limit requests are refused; no name is forgotten before it expires.
 	Limit int
@@ -82,7 +87,7 @@
 // such as a team, are admitted under them; an empty holder is anyone.
 func (r *Register) Issue(holder string, count int) Range {
 	r.init()
-	expiry := r.elapsed() + r.validity()
+	expiry := r.elapsed() + r.validity() + r.repeat()
 	r.mu.Lock()
 	r.serial++
 	serial := r.serial
@@ -235,7 +240,14 @@
 	if r.Validity == 0 {
 		return DefaultValidity
 	}
-	return (r.Validity + time.Second - 1).Truncate(time.Second)
+	return r.Validity
+}
+
+func (r *Register) repeat() time.Duration {
+	if r.Repeat == 0 {
+		return DefaultRepeat
+	}
+	return r.Repeat
 }
 
 func (r *Register) limit() int {
--- a/ticket/register_test.go
+++ b/ticket/register_test.go
@@ -77,7 +77,8 @@
 	r := &ticket.Register{
 		Host:        netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:8000", i+1)),
 		Incarnation: ticket.Incarnation(f.started),
-		Validity:    time.Minute,
+		Validity:    10 * time.Second,
+		Repeat:      50 * time.Second,
 		Limit:       nameLimit,
 		Clock:       func() time.Time { return f.now },
 		Violated:    func(ticket.Violation) { f.violations++ },
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -113,7 +113,8 @@
 	Prefix string `json:"prefix"`
 	// Count is how many names there are, numbered from zero.
 	Count int `json:"count"`
-	// ValidFor is how long the names can be used.
+	// ValidFor is how long a caller may begin to use the names. A request can be
+	// sent again for longer.
 	ValidFor time.Duration `json:"valid-for"`
 }
 
