--- /dev/null
+++ b/exchange/example_test.go
@@ -0,0 +1,39 @@
+package exchange_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"net/url"
+
+	"trefoilline.example/trefoilline/exchange"
+)
+
+// A payment is sent to a backend server that is gone: it was not run.
+func ExampleClient_Send() {
+	gone := httptest.NewServer(nil)
+	address := netip.MustParseAddrPort(gone.Listener.Addr().String())
+	gone.Close()
+
+	client := &exchange.Client{}
+	request := &exchange.Request{
+		Name:   "payment-1",
+		Method: http.MethodPost,
+		URL: &url.URL{
+			Path: "/payments",
+		},
+	}
+	switch o := client.Send(context.Background(), address, request).(type) {
+	case *exchange.Answered:
+		defer o.Close()
+		fmt.Println("answered with status", o.Status)
+	case exchange.NotRun:
+		fmt.Println("not run:", o.Reason())
+	case *exchange.Unknown:
+		fmt.Println("may have run:", o.Reason)
+	}
+	// Output:
+	// not run: backend-server-unreached
+}
