Pass a request on only to entry hosts of the platform's list

**Cause** A ticket carries the address of its issuer, and a caller can write any: the host sent the request, with the caller's key, to whatever was there, such as a backend server or the store.

**Change** Desk.IsHost must know the address; without it nothing is passed on and the outcome is unknown.

**Measured result** TestForgedIssuerGetsNothing failed before (the payment ran on the backend server named as issuer, which saw the key) and passes after; go test -race ./admission passes.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -17,6 +17,7 @@
 		Register: register,
 		Claims:   claims,
 		Send:     client.Send,
+		IsHost:   list.IsEntryHost,
 	}
 	outcome := desk.Serve(ctx, request, team, func(ctx context.Context) exchange.Outcome {
 		return sender.Do(ctx, request, pick)
--- a/admission/desk.go
+++ b/admission/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,6 +23,11 @@
 	Claims *ticket.Claims
 	// Send passes a request to the host that issued its ticket.
 	Send Send
+	// IsHost tells whether the address is that of an entry host, by the
+	// platform's list. A ticket is the caller's word: without the check, a
+	// forged one would have the host send the request, with its key, to any
+	// address. If it is nil, nothing is passed on.
+	IsHost func(address netip.AddrPort) bool
 
 	settling sync.WaitGroup
 }
@@ -73,7 +79,7 @@
 // pass sends the request to the host that issued its ticket. A host that can't
 // be reached may have admitted the name before.
 func (d *Desk) pass(ctx context.Context, request *exchange.Request, issuer ticket.Elsewhere) exchange.Outcome {
-	if request.Header.Get(header.PassedBy) != "" || d.Send == nil {
+	if request.Header.Get(header.PassedBy) != "" || !d.mayPassTo(issuer.Host) {
 		return held(request, IssuerGone, nil)
 	}
 	h := request.Header.Clone()
@@ -94,6 +100,10 @@
 	return outcome
 }
 
+func (d *Desk) mayPassTo(host netip.AddrPort) bool {
+	return d.Send != nil && d.IsHost != nil && d.IsHost(host)
+}
+
 func (d *Desk) serveKey(ctx context.Context, request *exchange.Request, key, holder string, run Run) exchange.Outcome {
 	request.Name = ticket.ClaimID(holder, key)
 	decision, err := d.Claims.Admit(ctx, holder, key)
--- a/admission/desk_test.go
+++ b/admission/desk_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"net/url"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
@@ -65,3 +66,22 @@
 	}
 	require.IsType(t, &exchange.Unknown{}, admission.Refuse(request, "withdrawn"))
 }
+
+// TestForgedIssuerGetsNothing has a caller name a backend server as the issuer
+// of its ticket: the request, with its key, must not be passed there.
+func TestForgedIssuerGetsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, false)
+		defer w.stop()
+		client := w.newClient()
+		defer client.CloseIdleConnections()
+		forger := ticket.Register{
+			Host: backendAddress(0),
+		}
+		require.False(t, w.pay(client, http.Header{
+			header.Ticket: {forger.Issue("", 1).Name(0)},
+			header.Key:    {"tk-4f9AbCd0e1Z2"},
+		}))
+		require.Empty(t, w.backends[0].Record().Entries)
+	})
+}
--- a/admission/entry_test.go
+++ b/admission/entry_test.go
@@ -58,7 +58,8 @@
 		Claims: &ticket.Claims{
 			Store: w.store,
 		},
-		Send: e.client.Send,
+		Send:   e.client.Send,
+		IsHost: isHost,
 	}
 	e.sender = &retry.Sender{
 		Send: e.send,
@@ -69,6 +70,9 @@
 	w.mu.Unlock()
 }
 
+// isHost tells the addresses of entry hosts from those of backend servers.
+func isHost(address netip.AddrPort) bool { return address.Addr().As4()[1] == 0 }
+
 // kill ends the process; its memory is gone.
 func (e *entry) kill() {
 	_ = e.server.Close()
