Count a server as lost to a request only if it answers no more, and tell all hosts first

(1) Equal requests of many callers share a fingerprint and any broken connection counted as a crash, so two dropped connections refused a whole route's equal requests for ten minutes. (2) The fingerprint held the Host header, which differs between entry hosts, so a request was unknown to every other host. (3) Hosts told each other after the caller knew. (4) The caller stand-in kept names of a host that was gone. Both unit tests fail without the change. Ruled out: a late message alone, since sharing first did not help while fingerprints differed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -129,7 +129,8 @@
 		Send: d.client.Send,
 	}
 	d.suspects = &suspect.List{
-		Share: d.shareLoss,
+		Share:   d.shareLoss,
+		Answers: d.answers,
 	}
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -14,7 +14,6 @@
 	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
-	"trefoilline.example/trefoilline/suspect"
 	"trefoilline.example/trefoilline/table"
 	"trefoilline.example/trefoilline/team"
 )
@@ -187,15 +186,6 @@
 	return names
 }
 
-// shareLoss tells all hosts of a backend server lost to a request.
-func (d *daemon) shareLoss(loss suspect.Loss) {
-	for _, name := range d.others() {
-		d.peers.send(name, func(waiting *packet) {
-			waiting.Losses = append(waiting.Losses, loss)
-		})
-	}
-}
-
 // followFeed hands each change of a feed to a function until the context ends.
 // A change that could not be taken in is handed over again.
 func (d *daemon) followFeed(ctx context.Context, feed fleet.Feed, take func(platform.Changes) error) {
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -132,13 +132,13 @@
 			return
 		}
 		out.From = p.host
-		if err := p.post(host, out); err != nil {
+		if err := p.post(p.context, host, out); err != nil {
 			p.log.Write(observe.PeerUnreached, zap.String("peer", host), zap.Error(err))
 		}
 	}
 }
 
-func (p *peers) post(host string, out packet) error {
+func (p *peers) post(ctx context.Context, host string, out packet) error {
 	address, known := p.address(host)
 	if !known {
 		return &UnknownPeerError{
@@ -149,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(p.context, http.MethodPost, "http://"+address.String()+peerPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+peerPath, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -101,12 +101,19 @@
 		}
 	}
 	var last Result
+	// mayRun tells whether a request under the ticket may have been admitted.
+	mayRun := false
 	for i, h := range hosts {
 		if i == maxHostsTried {
 			break
 		}
 		last = c.attempt(ctx, h, ticket, request)
 		last.Tries = i + 1
+		if last.issuerLost() && !mayRun {
+			ticket = c.replaceTicket(ctx)
+			last = c.attempt(ctx, h, ticket, request)
+		}
+		mayRun = mayRun || last.Kind == Unknown
 		if !last.again(request, ticket != "") {
 			break
 		}
@@ -116,6 +123,19 @@
 	return last
 }
 
+// replaceTicket drops the names of a host that is gone and returns a new one,
+// or none if no host gives any.
+func (c *Caller) replaceTicket(ctx context.Context) string {
+	c.mutex.Lock()
+	c.tickets = nil
+	c.mutex.Unlock()
+	_, ticket, err := c.prepare(ctx, true)
+	if err != nil {
+		return ""
+	}
+	return ticket
+}
+
 // prepare returns the hosts to try, and a ticket if one is wanted.
 func (c *Caller) prepare(ctx context.Context, wantTicket bool) ([]netip.AddrPort, string, error) {
 	c.mutex.Lock()
--- a/internal/standin/caller/result.go
+++ b/internal/standin/caller/result.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"trefoilline.example/trefoilline/admission"
 	"trefoilline.example/trefoilline/header"
 )
 
@@ -53,6 +54,17 @@
 	}
 }
 
+// issuerLost reports whether this sending did not run because the host that
+// issued the ticket is gone.
+func (r Result) issuerLost() bool {
+	switch header.Reason(r.Reason) {
+	case admission.IssuerGone, admission.IssuerUnreached, admission.TicketExpired:
+		return r.Kind == Unknown
+	default:
+		return false
+	}
+}
+
 // failed sorts an error of the transport: a connection that was never made
 // carried no request.
 func failed(err error) Result {
--- a/suspect/list.go
+++ b/suspect/list.go
@@ -34,9 +34,13 @@
 	// Limit is how many losses are remembered; [DefaultLimit] if zero. Beyond
 	// it the oldest are forgotten.
 	Limit int
-	// Share is called with each loss that this host saw first-hand. It may be
-	// nil.
+	// Share is called with each loss that this host saw first-hand, before its
+	// caller learns of it and can send the request elsewhere. It may be nil.
 	Share func(Loss)
+	// Answers reports whether a backend server answers on a new connection. One
+	// that does was not lost with the connection. If it is nil, every broken
+	// connection counts as a loss.
+	Answers func(server netip.AddrPort) bool
 	// Clock tells the time; [time.Now] if nil.
 	Clock func() time.Time
 
@@ -47,7 +51,12 @@
 }
 
 // Lost notes that the backend server broke the connection of the request.
+// Equal requests of many callers share a fingerprint, and connections break for
+// many reasons, so the server is asked whether it is still there.
 func (l *List) Lost(request *exchange.Request, server netip.AddrPort) {
+	if l.Answers != nil && l.Answers(server) {
+		return
+	}
 	loss := Loss{
 		Fingerprint: Of(request),
 		Server:      server,
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -3,15 +3,17 @@
 them, and refuses those before they take down a fleet.
 
 A request is known by its fingerprint, so that it is recognized when its caller
-sends it again, to any host. Each broken connection counts as a lost backend
-server; after two, the request is refused for a while. Other requests of the
+sends it again, to any host. A broken connection to a server that then answers
+no more counts as a lost backend server; after two, the request is refused for a
+while. Other requests of the
 same sender go on. Hosts share what they lost as [Loss] messages, by whatever
 way they talk, in any order and any number of times.
 
 # Usage
 
 	list := &suspect.List{
-		Share: broadcast, // called with each new loss
+		Share:   broadcast, // called with each new loss
+		Answers: probe,     // whether a server is still there
 	}
 	if list.Refuses(request) {
 		return request.Withhold(retry.Suspected)
@@ -74,8 +76,9 @@
 	return nil
 }
 
-// Of returns the fingerprint of a request: its method, host, path, query,
-// content type and body, or of a long body the length and the start.
+// Of returns the fingerprint of a request: its method, path, query, content type
+// and body, or of a long body the length and the start. The host that it was
+// sent to tells entry hosts apart and is not part of it.
 func Of(request *exchange.Request) Fingerprint {
 	hash := sha256.New()
 	add := func(part []byte) {
@@ -83,7 +86,6 @@
 		_, _ = hash.Write(part)
 	}
 	add([]byte(request.Method))
-	add([]byte(request.Host))
 	add([]byte(request.URL.EscapedPath()))
 	add([]byte(request.URL.RawQuery))
 	add([]byte(request.Header.Get("Content-Type")))
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -108,3 +108,23 @@
 	require.Len(t, list.Losses(), 10)
 	require.Equal(t, 1, list.Count(suspect.Of(newRequest("/99", nil))))
 }
+
+// TestEqualRequestsOfManyCallersGoOn drops connections of requests that are
+// alike, to servers that live: none of them may be refused for that.
+func TestEqualRequestsOfManyCallersGoOn(t *testing.T) {
+	list := &suspect.List{
+		Answers: func(netip.AddrPort) bool { return true },
+	}
+	list.Lost(newRequest("/orders", bytes("chalk")), first)
+	list.Lost(newRequest("/orders", bytes("chalk")), second)
+	require.False(t, list.Refuses(newRequest("/orders", bytes("chalk"))))
+}
+
+// TestRequestIsKnownOnEveryHost sends the same request to two entry hosts.
+func TestRequestIsKnownOnEveryHost(t *testing.T) {
+	here := newRequest("/orders", bytes("chalk"))
+	here.Host = "10.0.0.1:8080"
+	there := newRequest("/orders", bytes("chalk"))
+	there.Host = "10.0.0.2:8080"
+	require.Equal(t, suspect.Of(here), suspect.Of(there))
+}
