Clear a suspected request that is answered

**Cause** A popular request runs on nearly every backend server that dies of something else; two such deaths within ten minutes had it refused everywhere. Servers that die in the middle of their answer did not count.

**Change** A whole answer clears the request's losses, on all hosts. The caller's key is part of the fingerprint. Answered.Ended tells package retry how an answer ended.

**Measured result** TestPopularRequestIsNotBlamedForOrdinaryCrashes fails with clearing taken out and passes with it; TestServersLostInTheAnswerCount passes; 20,000 losses and clearances in random order keep the list consistent.

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -16,6 +16,9 @@
 	Header http.Header
 	// Length is the body's length in bytes, negative if only its end tells.
 	Length int64
+	// Ended is called once, when the answer is known to be whole or broken. It
+	// may be nil.
+	Ended func()
 
 	try       *try
 	response  *http.Response
@@ -127,12 +130,15 @@
 	if err == nil {
 		return n, nil
 	}
-	a.err = a.ended(err)
+	a.err = a.finish(err)
+	if a.Ended != nil {
+		a.Ended()
+	}
 	return n, a.err
 }
 
-// ended returns io.EOF if the answer came whole.
-func (a *Answered) ended(err error) error {
+// finish returns io.EOF if the answer came whole.
+func (a *Answered) finish(err error) error {
 	if err == io.EOF {
 		err = a.check()
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -55,6 +55,8 @@
 	Refuses(request *exchange.Request) bool
 	// Lost notes that the backend server broke the connection of the request.
 	Lost(request *exchange.Request, server netip.AddrPort)
+	// Answered notes that the request got a whole answer.
+	Answered(request *exchange.Request)
 }
 
 // Sender sends requests.
@@ -85,7 +87,8 @@
 		}
 		last = s.Send(ctx, server, request)
 		tried = append(tried, server)
-		if s.noteLoss(request, server, last) {
+		s.watch(request, server, last)
+		if _, isUnknown := last.(*exchange.Unknown); isUnknown {
 			mayHaveRun++
 		}
 		if !s.again(ctx, request, last, len(tried), mayHaveRun) {
@@ -107,17 +110,26 @@
 	return s.Suspects != nil && s.Suspects.Refuses(request)
 }
 
-// noteLoss reports whether the try may have run, and tells of a server that
-// broke the connection.
-func (s *Sender) noteLoss(request *exchange.Request, server netip.AddrPort, outcome exchange.Outcome) bool {
-	unknown, isUnknown := outcome.(*exchange.Unknown)
-	if !isUnknown {
-		return false
+// watch tells of a server that broke the connection, in the answer too, and of
+// whole answers.
+func (s *Sender) watch(request *exchange.Request, server netip.AddrPort, outcome exchange.Outcome) {
+	if s.Suspects == nil {
+		return
 	}
-	if unknown.Reason == exchange.Broken && s.Suspects != nil {
-		s.Suspects.Lost(request, server)
+	switch o := outcome.(type) {
+	case *exchange.Unknown:
+		if o.Reason == exchange.Broken {
+			s.Suspects.Lost(request, server)
+		}
+	case *exchange.Answered:
+		o.Ended = func() {
+			if o.Lost() {
+				s.Suspects.Lost(request, server)
+			} else if o.Broken() == nil {
+				s.Suspects.Answered(request)
+			}
+		}
 	}
-	return true
 }
 
 // again decides whether the request is sent once more.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -228,3 +229,29 @@
 	require.Equal(t, 14, lost[false])
 	require.Equal(t, 2, lost[true])
 }
+
+// TestServersLostInTheAnswerCount has servers die of a request after they began
+// to answer it.
+func TestServersLostInTheAnswerCount(t *testing.T) {
+	p := newPool(t, 2)
+	p.setFaults(backend.Faults{
+		Drop: backend.DropInAnswer,
+	})
+	list := &suspect.List{}
+	sender := &retry.Sender{
+		Send:     p.client.Send,
+		Suspects: list,
+	}
+	for i := range p.addresses {
+		request := newRequest("r1", "/?stand-in-size=100", true)
+		require.False(t, list.Refuses(request))
+		outcome := sender.Do(t.Context(), request, func([]netip.AddrPort) (netip.AddrPort, bool) { return p.addresses[i], true })
+		answered, isAnswered := outcome.(*exchange.Answered)
+		require.True(t, isAnswered)
+		_, err := io.ReadAll(answered)
+		require.Error(t, err)
+		answered.Close()
+	}
+	outcome := do(t, sender, newRequest("r1", "/?stand-in-size=100", true), p.inOrder)
+	require.Equal(t, retry.Suspected, outcome.(exchange.NotRun).Reason())
+}
--- a/suspect/list.go
+++ b/suspect/list.go
@@ -34,15 +34,17 @@
 	// Limit is how many losses are remembered; [DefaultLimit] if zero. Beyond
 	// it the oldest are forgotten.
 	Limit int
-	// Share is called with each loss that this host saw first-hand. It may be
-	// nil.
+	// Share is called with each loss, and each end of a suspicion, that this host
+	// saw first-hand. It may be nil.
 	Share func(Loss)
 	// Clock tells the time; [time.Now] if nil.
 	Clock func() time.Time
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// losses holds what is known of each fingerprint, at most one clearance
+	// among it.
 	losses map[Fingerprint][]Loss
-	// order holds the fingerprints of all losses, oldest first.
+	// order holds the fingerprints of all that is known, oldest first.
 	order []Fingerprint
 }
 
@@ -58,7 +60,27 @@
 	}
 }
 
-// Add notes a loss, and reports false if it is known already or too old.
+// Answered clears the request, if it is suspected.
+func (l *List) Answered(request *exchange.Request) {
+	if l.isEmpty() {
+		return
+	}
+	f := Of(request)
+	if l.Count(f) == 0 {
+		return
+	}
+	clearance := Loss{
+		Fingerprint: f,
+		At:          l.now(),
+		Cleared:     true,
+	}
+	if l.Add(clearance) && l.Share != nil {
+		l.Share(clearance)
+	}
+}
+
+// Add notes a loss or a clearance, and reports false if it changes nothing: it
+// is known already, too old, or cleared.
 func (l *List) Add(loss Loss) bool {
 	now := l.now()
 	if loss.At.After(now.Add(maxAhead)) {
@@ -67,12 +89,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	if now.Sub(loss.At) > l.memory() || slices.ContainsFunc(l.losses[loss.Fingerprint], loss.isSame) {
+	if now.Sub(loss.At) > l.memory() || slices.ContainsFunc(l.losses[loss.Fingerprint], loss.isMootBy) {
 		return false
 	}
 	if l.losses == nil {
 		l.losses = make(map[Fingerprint][]Loss)
 	}
+	if loss.Cleared {
+		l.dropUntil(loss)
+	}
 	if len(l.order) >= l.limit() {
 		l.dropOldest()
 	}
@@ -84,11 +109,14 @@
 // Refuses tells whether the request took down as many backend servers as one
 // may.
 func (l *List) Refuses(request *exchange.Request) bool {
-	l.mu.Lock()
-	isEmpty := len(l.order) == 0
-	l.mu.Unlock()
 	// The fingerprint costs a hash of the body.
-	return !isEmpty && l.Count(Of(request)) >= maxLost
+	return !l.isEmpty() && l.Count(Of(request)) >= maxLost
+}
+
+func (l *List) isEmpty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.order) == 0
 }
 
 // Count returns how many backend servers were lost to the fingerprint.
@@ -97,10 +125,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.expire(now)
-	return len(l.losses[f])
+	count := 0
+	for _, loss := range l.losses[f] {
+		if !loss.Cleared {
+			count++
+		}
+	}
+	return count
 }
 
-// Losses returns all losses that count, for a host that is new.
+// Losses returns all that is known, for a host that is new.
 func (l *List) Losses() []Loss {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -112,8 +146,27 @@
 	return all
 }
 
-func (l Loss) isSame(other Loss) bool {
-	return l.Server == other.Server && l.At.Sub(other.At).Abs() < sameLoss
+// isMootBy tells whether the loss adds nothing to what is known.
+func (l Loss) isMootBy(known Loss) bool {
+	if known.Cleared {
+		return !l.At.After(known.At)
+	}
+	return !l.Cleared && l.Server == known.Server && l.At.Sub(known.At).Abs() < sameLoss
+}
+
+// dropUntil forgets what the clearance makes moot.
+func (l *List) dropUntil(clearance Loss) {
+	f := clearance.Fingerprint
+	before := len(l.losses[f])
+	l.losses[f] = slices.DeleteFunc(l.losses[f], func(known Loss) bool { return !known.At.After(clearance.At) })
+	dropped := before - len(l.losses[f])
+	l.order = slices.DeleteFunc(l.order, func(other Fingerprint) bool {
+		if other != f || dropped == 0 {
+			return false
+		}
+		dropped--
+		return true
+	})
 }
 
 // expire forgets the losses that no longer count.
--- a/suspect/suspect.go
+++ b/suspect/suspect.go
@@ -5,7 +5,9 @@
 A request is known by its fingerprint, so that it is recognized when its caller
 sends it again, to any host. Each broken connection counts as a lost backend
 server; after two, the request is refused for a while. Other requests of the
-same sender go on. Hosts share what they lost as [Loss] messages, by whatever
+same sender go on. A request that is answered is cleared: backend servers die of
+other causes too, and a popular request is running on most of them when they do.
+Hosts share what they lost, and what is cleared, as [Loss] messages, by whatever
 way they talk, in any order and any number of times.
 
 # Usage
@@ -17,6 +19,7 @@
 		return request.Withhold(retry.Suspected)
 	}
 	list.Lost(request, server)
+	list.Answered(request)
 
 	// On a message from another host:
 	list.Add(loss)
@@ -34,13 +37,16 @@
 	"trefoilline.example/trefoilline/exchange"
 )
 
-// Loss says that a backend server broke the connection of a request. It is the
-// message that hosts share.
+// Loss says that a backend server broke the connection of a request, or that the
+// request was answered since. It is the message that hosts share.
 type Loss struct {
 	Fingerprint Fingerprint    `json:"fingerprint"`
 	Server      netip.AddrPort `json:"server"`
-	// At is when it was lost, by the clock of the host that saw it.
+	// At is when it was lost, or answered, by the clock of the host that saw it.
 	At time.Time `json:"at"`
+	// Cleared tells that the request was answered: its losses until then don't
+	// count. There is no server then.
+	Cleared bool `json:"cleared,omitempty"`
 }
 
 // fingerprintSize is in bytes.
@@ -74,14 +80,15 @@
 	return nil
 }
 
-// Of returns the fingerprint of a request: its method, host, path, query,
-// content type and body, or of a long body the length and the start.
+// Of returns the fingerprint of a request: its caller's key, method, host, path,
+// query, content type and body, or of a long body the length and the start.
 func Of(request *exchange.Request) Fingerprint {
 	hash := sha256.New()
 	add := func(part []byte) {
 		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
 		_, _ = hash.Write(part)
 	}
+	add([]byte(request.Key))
 	add([]byte(request.Method))
 	add([]byte(request.Host))
 	add([]byte(request.URL.EscapedPath()))
--- a/suspect/suspect_test.go
+++ b/suspect/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -98,6 +99,34 @@
 	require.ErrorAs(t, f.UnmarshalText([]byte("12zz")), &wrong)
 }
 
+// TestListStaysConsistent adds losses and clearances of few requests in any
+// order, to a small list.
+func TestListStaysConsistent(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 0))
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	list := &suspect.List{
+		Limit:  8,
+		Memory: time.Minute,
+		Clock:  func() time.Time { return now },
+	}
+	for range 20_000 {
+		now = now.Add(time.Duration(random.IntN(3000)) * time.Millisecond)
+		loss := suspect.Loss{
+			Fingerprint: suspect.Fingerprint{byte(random.IntN(4))},
+			Server:      first,
+			At:          now.Add(-time.Duration(random.IntN(70)) * time.Second),
+			Cleared:     random.IntN(3) == 0,
+		}
+		list.Add(loss)
+		require.LessOrEqual(t, len(list.Losses()), 8)
+		for _, known := range list.Losses() {
+			if loss.Cleared && known.Fingerprint == loss.Fingerprint && now.Sub(loss.At) <= time.Minute {
+				require.False(t, known.At.Before(loss.At))
+			}
+		}
+	}
+}
+
 func TestListIsBounded(t *testing.T) {
 	list := &suspect.List{
 		Limit: 10,
@@ -108,3 +137,39 @@
 	require.Len(t, list.Losses(), 10)
 	require.Equal(t, 1, list.Count(suspect.Of(newRequest("/99", nil))))
 }
+
+// TestPopularRequestIsNotBlamedForOrdinaryCrashes has two backend servers die in
+// ten minutes with the same popular request running on both, which is answered
+// in between as ever.
+func TestPopularRequestIsNotBlamedForOrdinaryCrashes(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	lists := make([]*suspect.List, 2)
+	for i := range lists {
+		lists[i] = &suspect.List{
+			Clock: func() time.Time { return now },
+			Share: func(loss suspect.Loss) {
+				encoded, err := json.Marshal(loss)
+				require.NoError(t, err)
+				var received suspect.Loss
+				require.NoError(t, json.Unmarshal(encoded, &received))
+				lists[1-i].Add(received)
+			},
+		}
+	}
+	popular := newRequest("/stock", nil)
+	lists[0].Lost(popular, first)
+	require.Equal(t, 1, lists[1].Count(suspect.Of(popular)))
+	late := lists[0].Losses()[0]
+	now = now.Add(time.Minute)
+	lists[0].Answered(popular)
+	lists[1].Add(late)
+	now = now.Add(time.Minute)
+	lists[1].Lost(popular, second)
+	for _, list := range lists {
+		require.Equal(t, 1, list.Count(suspect.Of(popular)))
+		require.False(t, list.Refuses(popular))
+	}
+	now = now.Add(time.Minute)
+	lists[0].Lost(popular, first)
+	require.True(t, lists[1].Refuses(popular))
+}
