--- a/steer/fleet_test.go
+++ b/steer/fleet_test.go
@@ -111,6 +111,9 @@
 	// leaving is when one server of each region begins to leave.
 	leaving time.Duration
 
+	// start is when the traffic starts.
+	start time.Duration
+
 	// The mechanisms taken out, for the baselines.
 	noTokens, noPlan, noSlots, noCaps, noShed bool
 }
@@ -222,7 +225,7 @@
 func (f *fleet) run(length time.Duration) {
 	f.after(0, f.tick)
 	for _, route := range f.table.Routes {
-		f.after(0, func() { f.arrive(route) })
+		f.after(f.faults.start, func() { f.arrive(route) })
 	}
 	end := f.start.Add(length)
 	for !f.reached && f.events.list[0].at.Before(end) {
@@ -338,6 +341,8 @@
 			f.table.Links = append(f.table.Links, table.Link{
 				From:     from,
 				To:       to,
+				Rate:     1000,
+				Burst:    200,
 				ShiftCap: tableCap,
 			})
 			name := steer.ShiftLimit(from, to)
--- /dev/null
+++ b/steer/sharing_test.go
@@ -0,0 +1,143 @@
+package steer_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/backend"
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
+)
+
+// sharingStart is when the traffic starts, once the limits are divided.
+const sharingStart = 20 * time.Second
+
+// allocationStore keeps the allocation of the limits.
+type allocationStore struct {
+	platform.Store
+	object platform.Object
+}
+
+func (s *allocationStore) Get(_ context.Context, key string) (platform.Object, error) {
+	if s.object.Version == 0 {
+		return platform.Object{}, &platform.NotFoundError{
+			Key: key,
+		}
+	}
+	return s.object, nil
+}
+
+func (s *allocationStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+	var expected platform.Version
+	if c, ok := condition.(platform.IfVersion); ok {
+		expected = c.Version
+	}
+	if s.object.Version != expected {
+		return 0, &platform.ConflictError{
+			Key:   key,
+			Found: s.object.Version,
+		}
+	}
+	s.object = platform.Object{
+		Key:     key,
+		Value:   value,
+		Version: expected + 1,
+	}
+	return s.object.Version, nil
+}
+
+// useHolders makes the hosts take limits and slots from holders that exchange
+// messages, in place of the fleet's exact counts.
+func (f *fleet) useHolders() {
+	store := &allocationStore{}
+	holders := make(map[string]*share.Holder)
+	var live []share.Identity
+	for _, e := range f.entries {
+		h := &share.Holder{
+			Host:        e.name,
+			Incarnation: 1,
+			Exclusive:   true,
+			Clock:       func() time.Time { return f.now },
+			Rand:        rand.New(rand.NewPCG(f.random.Uint64(), 0)),
+		}
+		var machines []platform.Machine
+		for _, s := range f.servers {
+			machines = append(machines, s.machine)
+		}
+		h.SetLimits(steer.FleetLimits(f.table, machines, time.Minute))
+		e.router.Limits = steer.Shared{
+			Holder: h,
+		}
+		e.pool.Slots = &backend.Shared{
+			Holder: h,
+		}
+		holders[e.name] = h
+		live = append(live, h.Identity())
+	}
+	for _, e := range f.entries {
+		h := holders[e.name]
+		h.SetLive(live)
+		keeper := &share.Keeper{
+			Store:  store,
+			Holder: h,
+		}
+		f.after(0, func() { f.share(holders, h, keeper) })
+	}
+}
+
+// share is a holder's turn.
+func (f *fleet) share(holders map[string]*share.Holder, h *share.Holder, keeper *share.Keeper) {
+	f.after(share.TickPeriod, func() { f.share(holders, h, keeper) })
+	_ = keeper.Refresh(context.Background())
+	f.deliver(holders, h.Tick())
+}
+
+func (f *fleet) deliver(holders map[string]*share.Holder, envelopes []share.Envelope) {
+	for _, e := range envelopes {
+		f.after(linkDelay, func() { f.deliver(holders, holders[e.To].Receive(e.Message)) })
+	}
+}
+
+// TestDrainWithSharedLimits drains a region with the limits divided among the
+// hosts.
+func TestDrainWithSharedLimits(t *testing.T) {
+	t.Log("user       drain                      seed  moves above cap  over slots  drain/least  refused")
+	for _, u := range users {
+		for _, c := range []scenario{
+			{
+				name: "no fault",
+			},
+			{
+				name: "rates a tenth",
+				faults: faults{
+					wrong: true,
+				},
+			},
+		} {
+			for seed := uint64(1); seed <= *seeds; seed++ {
+				c.faults.drained = drained
+				c.faults.start = sharingStart
+				f := newFleet(u, seed, c.faults)
+				f.useHolders()
+				f.run(300 * time.Second)
+				t.Logf("%-10s %-25s  %4d  %15d  %10d  %11.2f  %v of %d", u.name, c.name, seed, f.overCap(), f.overSlots, f.drainRatio(), f.refused, f.total())
+				require.Zero(t, f.violations)
+				require.Zero(t, f.overCap())
+				require.Zero(t, f.overSlots)
+			}
+		}
+	}
+}
+
+func (f *fleet) total() int {
+	sum := 0
+	for _, n := range f.sent {
+		sum += n
+	}
+	return sum
+}
--- a/steer/traffic_test.go
+++ b/steer/traffic_test.go
@@ -15,6 +15,13 @@
 // usualLoad is the part of a service's slots in use before any fault.
 const usualLoad = 0.12
 
+const (
+	// slotWait is how long a request waits for a slot, and slotRetry how often
+	// it tries.
+	slotWait  = time.Second
+	slotRetry = 20 * time.Millisecond
+)
+
 // tick is a second of the control loops: faults, probes, reports, the plan.
 func (f *fleet) tick() {
 	f.after(tick, f.tick)
@@ -185,7 +192,17 @@
 		f.refuse(err)
 		return
 	}
+	f.send(e, q, d, f.now.Add(slotWait))
+}
+
+// send sends the request to a server, once there is a slot.
+func (f *fleet) send(e *entry, q steer.Request, d steer.Decision, until time.Time) {
 	r, err := e.pool.Choose(d.Service, d.Region)
+	var busy *backend.NoSlotError
+	if errors.As(err, &busy) && f.now.Before(until) {
+		f.after(slotRetry, func() { f.send(e, q, d, until) })
+		return
+	}
 	if err != nil {
 		f.tell(e, q, d, err)
 		f.refuse(err)
