Keep traffic near its entry hosts; tighten the oracle of the cap

**Cause** Hosts of each region spread their requests by the table's weights over all regions, so two of three crossed a link, were late by 110 ms and held their slot meanwhile.

**Change** A route's plan is by the region of the entry hosts: requests stay in their region as far as the table's weights over all hosts allow. What a lost region leaves goes by the table's weights. The oracle no longer lets the allowed flow grow while nothing moves: it allows the flow of Hold ago and the cap on top, with homes known from the start.

--- a/steer/advance.go
+++ b/steer/advance.go
@@ -12,7 +12,7 @@
 
 // advance settles the last step if it held and takes the next one.
 func (p *Plan) advance(last Plan, t table.Table, reports []Report, missing string, now time.Time) Verdict {
-	wanted := targets(t, now)
+	wanted := p.targets()
 	if p.reached(wanted) {
 		return p.renewRates(reports, missing, now)
 	}
@@ -28,7 +28,7 @@
 		return v
 	}
 	p.settle(reports)
-	return p.takeStep(wanted, t.Links, reports)
+	return p.takeStep(p.targets(), t.Links, reports)
 }
 
 // checkHeld returns nil if the last step held on all hosts.
@@ -53,25 +53,33 @@
 	return true
 }
 
-// renewRates notes the rates at rest, now and then and if they changed.
+// renewRates notes the rates at rest, if they changed: at once if none is known,
+// else now and then.
 func (p *Plan) renewRates(reports []Report, missing string, now time.Time) Verdict {
-	if missing != "" || now.Sub(p.Written) < RateLife {
+	known := false
+	for _, r := range p.Routes {
+		known = known || r.Rate > 0
+	}
+	if missing != "" || known && now.Sub(p.Written) < RateLife || !p.noteRates(reports) {
 		return Reached{}
 	}
+	return Stepped{}
+}
+
+// noteRates takes the measured rates that differ much from the known, and
+// reports whether any did.
+func (p *Plan) noteRates(reports []Report) bool {
 	changed := false
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		measured := rate(reports, r.Route)
+		measured := rate(reports, r.Route, r.Origin)
 		if measured <= 0 || math.Abs(measured-r.Rate) <= rateChange*r.Rate {
 			continue
 		}
 		r.Rate = measured
 		changed = true
 	}
-	if changed {
-		return Stepped{}
-	}
-	return Reached{}
+	return changed
 }
 
 // settle takes as settled what the last step moved, and notes the rates. If its
@@ -86,10 +94,8 @@
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		r.Settled = r.Settled.towards(r.Effective, h.granted())
-		if measured := rate(reports, r.Route); measured > 0 {
-			r.Rate = measured
-		}
 	}
+	p.noteRates(reports)
 }
 
 // takeStep moves each route as far as the caps and the free slots allow.
@@ -99,7 +105,7 @@
 	for i := range p.Routes {
 		r := &p.Routes[i]
 		c := changes[i]
-		part := min(c.partUnderCaps(changes, links), c.partUnderRoom(reports))
+		part := min(c.partUnderCaps(changes, links), c.partUnderRoom(changes, reports))
 		if part < leastStep {
 			continue
 		}
@@ -113,6 +119,7 @@
 	changes := make([]change, 0, len(p.Routes))
 	for i, r := range p.Routes {
 		changes = append(changes, change{
+			route:   r.Route,
 			service: r.Service,
 			settled: r.Settled,
 			target:  wanted[i],
--- a/steer/ask.go
+++ b/steer/ask.go
@@ -7,9 +7,10 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	report := Report{
-		Taken: now,
-		Step:  r.step,
-		Held:  true,
+		Region: r.Region,
+		Taken:  now,
+		Step:   r.plan.Step,
+		Held:   true,
 	}
 	for _, s := range r.routes {
 		r.advance(s, now)
@@ -37,18 +38,12 @@
 // the other routes that lost the region.
 func (r *Router) stepRate(s *routeState, e *evacuation) float64 {
 	own := total(e.demand)
-	flow := 0.0
-	for _, other := range r.routes {
-		if other.evacuations[e.region] != nil {
-			flow += other.rate * other.effective.Of(e.region)
-		}
-	}
+	flow := r.flowTo(e.region)
 	if flow <= 0 {
 		return blindStep * own
 	}
-	rest := r.rest(s, s.effective, e.region).normal()
 	part := 1.0
-	for _, x := range rest {
+	for _, x := range r.rest(s, e.share, e.region).normal() {
 		if x.Weight > 0 {
 			part = min(part, r.shiftCap(e, x.Region)/(flow*x.Weight))
 		}
@@ -56,6 +51,19 @@
 	return part * own
 }
 
+// flowTo returns the requests per second, over all hosts, of the routes to which
+// the region was lost, as last known.
+func (r *Router) flowTo(region string) float64 {
+	flow := 0.0
+	for _, p := range r.plan.Routes {
+		s := r.routes[p.Route]
+		if s != nil && s.evacuations[region] != nil {
+			flow += p.Rate * p.Effective.Of(region)
+		}
+	}
+	return flow
+}
+
 // shiftCap returns the cap on the evacuation's moves out of or back from the
 // region that helps.
 func (r *Router) shiftCap(e *evacuation, other string) float64 {
--- a/steer/decide.go
+++ b/steer/decide.go
@@ -60,7 +60,7 @@
 		}
 	}
 	if e.over(q, level(e)) {
-		region = r.rest(s, w, region).Place(q.Point)
+		region = r.rest(s, e.share, region).Place(q.Point)
 	} else if !e.back {
 		region = ""
 	}
--- a/steer/evacuation.go
+++ b/steer/evacuation.go
@@ -16,6 +16,8 @@
 // weight. When the region is back, it shrinks in the same way.
 type evacuation struct {
 	region string
+	// share is the weights by which the traffic goes elsewhere.
+	share Weights
 	// back says that the region is no longer lost.
 	back  bool
 	since time.Time
--- a/steer/fleet_test.go
+++ b/steer/fleet_test.go
@@ -69,27 +69,17 @@
 	servers int
 }
 
-// bucket is a token bucket. As the oracle's meter it counts what overflows, and
-// it grows: what moved for Hold is settled, so that after each Hold since the
-// first move as much more may be moved.
+// bucket is a token bucket.
 type bucket struct {
 	rate  float64
-	first time.Time
 	burst float64
 	used  float64
 	last  time.Time
-	over  int
 }
 
-// leak lets go what the time allows and returns the burst.
-func (b *bucket) leak(now time.Time) float64 {
-	steps := 1.0
-	if !b.first.IsZero() {
-		steps += float64(now.Sub(b.first) / steer.Hold)
-	}
-	b.used = max(0, b.used-steps*b.rate*now.Sub(b.last).Seconds())
+func (b *bucket) leak(now time.Time) {
+	b.used = max(0, b.used-b.rate*now.Sub(b.last).Seconds())
 	b.last = now
-	return steps * b.burst
 }
 
 // faults are what goes wrong in a run.
@@ -115,7 +105,7 @@
 	start time.Duration
 
 	// The mechanisms taken out, for the baselines.
-	noTokens, noPlan, noSlots, noCaps, noShed bool
+	noLocal, noTokens, noPlan, noSlots, noShed bool
 }
 
 // fleet is a user's hosts and servers in simulated time.
@@ -134,7 +124,7 @@
 	slots   map[string]int
 
 	// What the oracle saw.
-	meters      map[string]*bucket
+	meters      map[string]*meter
 	homes       map[origin]string
 	places      map[origin]string
 	running     map[string]int
@@ -150,6 +140,8 @@
 	steps       int
 	warm        map[cache]bool
 	reached     bool
+	latencies   []time.Duration
+	crossed     int
 	lastRefused time.Duration
 }
 
@@ -162,10 +154,11 @@
 	report steer.Report
 }
 
-// origin is a point of a route.
+// origin is a point of a route at the entry hosts of a region.
 type origin struct {
-	route string
-	point steer.Point
+	region string
+	route  string
+	point  steer.Point
 }
 
 // cache is what a region has in its cache.
@@ -246,7 +239,8 @@
 	if b == nil || f.faults.noTokens {
 		return steer.Granted{}
 	}
-	if b.used+count > b.leak(f.now) {
+	b.leak(f.now)
+	if b.used+count > b.burst {
 		return steer.Denied{}
 	}
 	b.used += count
@@ -277,7 +271,7 @@
 		servers:  make(map[string]*fakeServer),
 		tokens:   make(map[string]*bucket),
 		slots:    make(map[string]int),
-		meters:   make(map[string]*bucket),
+		meters:   make(map[string]*meter),
 		homes:    make(map[origin]string),
 		places:   make(map[origin]string),
 		running:  make(map[string]int),
@@ -293,15 +287,44 @@
 	for i := range 7 {
 		f.entries = append(f.entries, f.newEntry(fmt.Sprintf("entry-%d", i), u.regions[i%3]))
 	}
-	f.plan, _ = steer.Next(f.plan, f.table, steer.Measurements{}, f.now)
+	f.plan, _ = steer.Next(f.plan, f.table, f.expected(), f.now)
 	for _, e := range f.entries {
 		e.router.SetPlan(f.plan)
 	}
+	f.settleHomes()
 	return f
 }
 
+// expected returns the reports of hosts that have had their traffic.
+func (f *fleet) expected() steer.Measurements {
+	var m steer.Measurements
+	for _, e := range f.entries {
+		report := steer.Report{
+			Host:   e.name,
+			Region: e.region,
+			Taken:  f.now,
+		}
+		for _, s := range f.user.services {
+			report.Routes = append(report.Routes, steer.RouteRate{
+				Route: s.name,
+				Rate:  f.rate(s.name) / float64(len(f.entries)),
+			})
+		}
+		m.Hosts = append(m.Hosts, e.name)
+		m.Reports = append(m.Reports, report)
+	}
+	return m
+}
+
 func (f *fleet) buildTable() {
 	f.table.Version = 1
+	for _, region := range f.user.regions {
+		if !f.faults.noLocal {
+			f.table.Regions = append(f.table.Regions, table.Region{
+				Name: region,
+			})
+		}
+	}
 	for _, s := range f.user.services {
 		f.table.Routes = append(f.table.Routes, table.Route{
 			Name:    s.name,
@@ -329,10 +352,6 @@
 			End:    f.start.Add(time.Hour),
 		})
 	}
-	tableCap := f.user.shiftCap
-	if f.faults.noCaps {
-		tableCap *= 1000
-	}
 	for _, from := range f.user.regions {
 		for _, to := range f.user.regions {
 			if from == to {
@@ -343,11 +362,16 @@
 				To:       to,
 				Rate:     1000,
 				Burst:    200,
-				ShiftCap: tableCap,
+				ShiftCap: f.user.shiftCap,
 			})
 			name := steer.ShiftLimit(from, to)
 			f.tokens[name] = f.shiftBucket()
-			f.meters[name] = f.shiftBucket()
+			f.meters[name] = &meter{
+				rate:  f.user.shiftCap,
+				burst: f.user.shiftCap,
+				start: f.start,
+				last:  f.start,
+			}
 		}
 	}
 }
--- a/steer/next.go
+++ b/steer/next.go
@@ -12,8 +12,8 @@
 //
 // Without a fresh report of each listed host a plan on its way stands still.
 func Next(plan Plan, t table.Table, m Measurements, now time.Time) (Plan, Verdict) {
-	next, changed := follow(plan, t, now)
 	reports, missing := m.fresh(now)
+	next, changed := follow(plan, t, reports, now)
 	verdict := next.advance(plan, t, reports, missing, now)
 	if _, stepped := verdict.(Stepped); !stepped && !changed {
 		return plan, verdict
@@ -24,35 +24,82 @@
 }
 
 // follow returns the plan with the routes of the table, and whether that
-// changed anything. A new route starts with the table's weights, since it has
-// no traffic to move.
-func follow(plan Plan, t table.Table, now time.Time) (Plan, bool) {
+// changed anything. A new route starts with the weights that it should have,
+// since it has no traffic to move.
+func follow(plan Plan, t table.Table, reports []Report, now time.Time) (Plan, bool) {
 	next := Plan{
 		Step:    plan.Step,
 		Table:   t.Version,
 		Written: plan.Written,
 	}
-	changed := plan.Step == 0 || plan.Table != t.Version || len(plan.Routes) != len(t.Routes)
+	changed := plan.Step == 0 || plan.Table != t.Version
 	for _, route := range t.Routes {
-		r, found := plan.Route(route.Name)
-		if !found {
-			w := TableWeights(route, t.Drains, now)
-			r.Route = route.Name
-			r.Settled = w
-			r.Effective = w
+		share := TableWeights(route, t.Drains, now)
+		for _, origin := range origins(t) {
+			r, found := plan.Route(route.Name, origin)
+			if !found || r.Origin != origin {
+				r = RoutePlan{
+					Route:  route.Name,
+					Origin: origin,
+					Rate:   rate(reports, route.Name, origin),
+				}
+				changed = true
+			}
+			changed = changed || r.Service != route.Service
+			r.Service = route.Service
+			r.Share = share
+			next.Routes = append(next.Routes, r)
 		}
-		changed = changed || !found || r.Service != route.Service
-		r.Service = route.Service
-		next.Routes = append(next.Routes, r)
 	}
-	return next, changed
+	next.startNew()
+	return next, changed || len(next.Routes) != len(plan.Routes)
 }
 
-// targets returns the weights that each route should have in the end.
-func targets(t table.Table, now time.Time) []Weights {
-	wanted := make([]Weights, 0, len(t.Routes))
-	for _, route := range t.Routes {
-		wanted = append(wanted, TableWeights(route, t.Drains, now))
+// origins returns the regions whose entry hosts have plans of their own.
+func origins(t table.Table) []string {
+	if len(t.Regions) == 0 {
+		return []string{""}
+	}
+	names := make([]string, 0, len(t.Regions))
+	for _, r := range t.Regions {
+		names = append(names, r.Name)
+	}
+	return names
+}
+
+// startNew gives new routes the weights that they should have.
+func (p *Plan) startNew() {
+	wanted := p.targets()
+	for i := range p.Routes {
+		r := &p.Routes[i]
+		if r.Effective == nil {
+			r.Settled = wanted[i]
+			r.Effective = wanted[i]
+		}
+	}
+}
+
+// targets returns the weights that each route should have in the end: as near
+// to the entry hosts as the table's weights allow.
+func (p *Plan) targets() []Weights {
+	wanted := make([]Weights, 0, len(p.Routes))
+	for _, r := range p.Routes {
+		wanted = append(wanted, localWeights(r, p.flows(r.Route)))
 	}
 	return wanted
 }
+
+// flows returns the requests per second of the route at the entry hosts of each
+// region.
+func (p *Plan) flows(route string) Weights {
+	var flows Weights
+	for _, r := range p.Routes {
+		if r.Route == route {
+			flows = append(flows, table.Weight{
+				Region: r.Origin,
+				Weight: r.Rate,
+			})
+		}
+	}
+	return flows.normal()
+}
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -44,23 +44,29 @@
 	Routes  []RoutePlan `json:"routes"`
 }
 
-// RoutePlan is the weights of one route.
+// RoutePlan is the weights of one route for the entry hosts of one region.
 type RoutePlan struct {
 	Route   string `json:"route"`
 	Service string `json:"service"`
+	// Origin is the region of the entry hosts; empty if the plan is the same for
+	// all, which is so for tables that list no regions.
+	Origin string `json:"origin,omitempty"`
+	// Share is the route's weights over the entry hosts of all regions. What a
+	// lost region leaves goes by them.
+	Share Weights `json:"share"`
 	// Settled is where the traffic went before the last step.
 	Settled Weights `json:"settled"`
 	// Effective is where it goes with the last step.
 	Effective Weights `json:"effective"`
-	// Rate is the route's requests per second over all hosts when it was last
-	// known, for hosts that must act without a new plan.
+	// Rate is the requests per second of the route at these hosts when it was
+	// last known, for hosts that must act without a new plan.
 	Rate float64 `json:"rate"`
 }
 
-// Route returns the route's plan, or false.
-func (p Plan) Route(name string) (RoutePlan, bool) {
+// Route returns the route's plan for the entry hosts of the region, or false.
+func (p Plan) Route(name, origin string) (RoutePlan, bool) {
 	for _, r := range p.Routes {
-		if r.Route == name {
+		if r.Route == name && (r.Origin == origin || r.Origin == "") {
 			return r, true
 		}
 	}
--- a/steer/proof_test.go
+++ b/steer/proof_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,12 @@
 	{
 		name: "no fault",
 	},
+	{
+		name: "no fault, not local",
+		faults: faults{
+			noLocal: true,
+		},
+	},
 	{
 		name: "measurements lag 3 s",
 		faults: faults{
@@ -109,14 +116,14 @@
 
 // TestDrainKeepsTheCap drains a region under faults of the measurements.
 func TestDrainKeepsTheCap(t *testing.T) {
-	t.Log("user       drain                      seed  moves above cap  over slots  ran leaving  sent late  drain/least  refused")
+	t.Log("user       drain                      seed  moves above cap  over slots  ran leaving  sent late  drain/least  crossed  p50    p99    refused")
 	for _, u := range users {
 		for _, c := range drains {
 			for seed := uint64(1); seed <= *seeds; seed++ {
 				c.faults.drained = drained
 				f := newFleet(u, seed, c.faults)
 				f.run(300 * time.Second)
-				t.Logf("%-10s %-25s  %4d  %15d  %10d  %11d  %9d  %11.2f  %v", u.name, c.name, seed, f.overCap(), f.overSlots, f.toLeaving, f.sentLate, f.drainRatio(), f.refused)
+				t.Logf("%-10s %-25s  %4d  %15d  %10d  %11d  %9d  %11.2f  %7.2f  %-5v  %-5v  %v", u.name, c.name, seed, f.overCap(), f.overSlots, f.toLeaving, f.sentLate, f.drainRatio(), f.crossedPart(), f.latency(0.5), f.latency(0.99), f.refused)
 				f.judge(t, c)
 			}
 		}
@@ -149,7 +156,7 @@
 	{
 		name: "BASELINE at once",
 		faults: faults{
-			noCaps:   true,
+			noPlan:   true,
 			noTokens: true,
 			noSlots:  true,
 		},
@@ -159,7 +166,7 @@
 
 // TestLossOfARegion kills all backend servers of a region.
 func TestLossOfARegion(t *testing.T) {
-	t.Log("user       loss                       seed  moves above cap  over slots  whole after  small  large  all    refused")
+	t.Log("user       loss                       seed  moves above cap  over slots  whole after  small  large  all    p99    refused")
 	for _, u := range users {
 		for _, c := range losses {
 			for seed := uint64(1); seed <= *seeds; seed++ {
@@ -167,7 +174,7 @@
 				f := newFleet(u, seed, c.faults)
 				f.run(240 * time.Second)
 				small, large, all := f.servedParts()
-				t.Logf("%-10s %-25s  %4d  %15d  %10d  %11.0f  %.3f  %.3f  %.3f  %v", u.name, c.name, seed, f.overCap(), f.overSlots, (f.lastRefused - lost).Seconds(), small, large, all, f.refused)
+				t.Logf("%-10s %-25s  %4d  %15d  %10d  %11.0f  %.3f  %.3f  %.3f  %-5v  %v", u.name, c.name, seed, f.overCap(), f.overSlots, (f.lastRefused - lost).Seconds(), small, large, all, f.latency(0.99), f.refused)
 				f.judge(t, c)
 			}
 		}
@@ -198,3 +205,14 @@
 	least := 0.4 * flow / 2 / f.user.shiftCap * steer.Hold.Seconds()
 	return (f.lastSent - drained + steer.Hold).Seconds() / least
 }
+
+// crossedPart returns the part of the requests that left their region.
+func (f *fleet) crossedPart() float64 {
+	return float64(f.crossed) / float64(f.total())
+}
+
+// latency returns a quantile of the answered requests' latency.
+func (f *fleet) latency(quantile float64) time.Duration {
+	slices.Sort(f.latencies)
+	return f.latencies[int(quantile*float64(len(f.latencies)))].Round(time.Millisecond)
+}
--- a/steer/report.go
+++ b/steer/report.go
@@ -7,8 +7,10 @@
 
 // Report is what one entry host measured.
 type Report struct {
-	Host  string    `json:"host"`
-	Taken time.Time `json:"taken"`
+	Host string `json:"host"`
+	// Region is the host's own region.
+	Region string    `json:"region"`
+	Taken  time.Time `json:"taken"`
 	// Step is the step of the plan that is in force on the host.
 	Step uint64 `json:"step"`
 	// Held says that it has been in force for Hold.
@@ -69,10 +71,14 @@
 	return reports, missing
 }
 
-// rate returns the route's requests per second over the reports.
-func rate(reports []Report, route string) float64 {
+// rate returns the route's requests per second at the hosts of the origin, or
+// at all if the origin is empty.
+func rate(reports []Report, route, origin string) float64 {
 	sum := 0.0
 	for _, report := range reports {
+		if origin != "" && report.Region != origin {
+			continue
+		}
 		for _, r := range report.Routes {
 			if r.Route == route {
 				sum += r.Rate
--- a/steer/router.go
+++ b/steer/router.go
@@ -20,7 +20,7 @@
 	OnViolation func(Violation)
 
 	mu         sync.Mutex
-	step       uint64
+	plan       Plan
 	links      []table.Link
 	weights    map[string]float64
 	routes     map[string]*routeState
@@ -31,7 +31,8 @@
 type routeState struct {
 	name    string
 	service string
-	rate    float64
+	// share is the route's weights over the entry hosts of all regions.
+	share Weights
 	// settled is where the traffic went before the step in force.
 	settled   Weights
 	effective Weights
@@ -66,12 +67,15 @@
 func (r *Router) SetPlan(plan Plan) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if plan.Step <= r.step {
+	if plan.Step <= r.plan.Step {
 		return
 	}
 	now := r.now()
 	routes := make(map[string]*routeState, len(plan.Routes))
 	for _, p := range plan.Routes {
+		if p.Origin != "" && p.Origin != r.Region {
+			continue
+		}
 		state := r.routes[p.Route]
 		if state == nil {
 			state = &routeState{
@@ -79,11 +83,11 @@
 				settled: p.Settled,
 			}
 		}
-		state.follow(p, plan.Step == r.step+1, now)
+		state.follow(p, plan.Step == r.plan.Step+1, now)
 		routes[p.Route] = state
 	}
 	r.routes = routes
-	r.step = plan.Step
+	r.plan = plan
 }
 
 // SetLost says whether the region is lost to the service, as the host's own
@@ -124,7 +128,7 @@
 		s.settled = p.Settled
 	}
 	s.service = p.Service
-	s.rate = p.Rate
+	s.share = p.Share
 	s.effective = p.Effective
 	s.final = p.Settled.Equal(p.Effective)
 	s.same = s.settled.Equal(s.effective)
@@ -153,6 +157,7 @@
 	}
 	e := &evacuation{
 		region:  region,
+		share:   s.share,
 		since:   now,
 		demand:  demand,
 		weights: weights,
--- a/steer/step.go
+++ b/steer/step.go
@@ -8,6 +8,7 @@
 
 // change is a route's way from its settled weights to its target.
 type change struct {
+	route   string
 	service string
 	settled Weights
 	target  Weights
@@ -33,7 +34,7 @@
 	if limit <= 0 {
 		return 0
 	}
-	if c.rate <= 0 {
+	if !known(all, c.route) {
 		return blindStep
 	}
 	moved := 0.0
@@ -43,16 +44,26 @@
 	return limit / moved
 }
 
+// known reports whether the route's traffic is known.
+func known(all []change, route string) bool {
+	for _, c := range all {
+		if c.route == route && c.rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // partUnderRoom returns how much of the way one step may go, so that the
 // regions that gain have free slots for it.
-func (c change) partUnderRoom(reports []Report) float64 {
+func (c change) partUnderRoom(all []change, reports []Report) float64 {
 	running := 0.0
 	for _, x := range c.target {
 		running += float64(room(reports, c.service, x.Region).Running)
 	}
 	part := 1.0
 	for _, x := range c.target {
-		gain := (x.Weight - c.settled.Of(x.Region)) * running
+		gain := c.gain(all, x.Region) * running
 		r := room(reports, c.service, x.Region)
 		if gain <= 0 || r.Slots == 0 {
 			continue
@@ -62,6 +73,21 @@
 	return part
 }
 
+// gain returns how much the region's part of the route's traffic grows in all.
+func (c change) gain(all []change, region string) float64 {
+	flow, gain := 0.0, 0.0
+	for _, other := range all {
+		if other.route == c.route {
+			flow += other.rate
+			gain += other.rate * (other.target.Of(region) - other.settled.Of(region))
+		}
+	}
+	if flow <= 0 {
+		return c.target.Of(region) - c.settled.Of(region)
+	}
+	return gain / flow
+}
+
 // shiftCap returns the cap between the regions in requests per second; zero if
 // the table has no such link, since nothing may move over none.
 func shiftCap(links []table.Link, direction pair) float64 {
--- a/steer/traffic_test.go
+++ b/steer/traffic_test.go
@@ -126,7 +126,7 @@
 	f.steps++
 	for i, e := range f.entries {
 		delay := 100 * time.Millisecond
-		if i == 1 {
+		if i == 0 {
 			delay += f.faults.late
 		}
 		f.after(delay, func() { e.router.SetPlan(next) })
@@ -140,9 +140,13 @@
 	}
 	for _, route := range f.table.Routes {
 		w := steer.TableWeights(route, f.table.Drains, f.now)
+		if f.faults.lost > 0 && f.age() > f.faults.lost {
+			w = w.Without(f.user.regions[0])
+		}
 		plan.Routes = append(plan.Routes, steer.RoutePlan{
 			Route:     route.Name,
 			Service:   route.Service,
+			Share:     w,
 			Settled:   w,
 			Effective: w,
 		})
@@ -165,11 +169,7 @@
 	rate := f.rate(route.Service)
 	f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), func() { f.arrive(route) })
 	number := f.random.IntN(points)
-	q := steer.Request{
-		Route: route.Name,
-		Team:  teamOf(number),
-		Point: steer.Point(uint64(number+1) * 0x9e3779b97f4a7c15),
-	}
+	q := request(route, number)
 	host := number % len(f.entries)
 	if f.random.IntN(20) == 0 {
 		host = f.random.IntN(len(f.entries))
@@ -178,6 +178,23 @@
 	f.handle(f.entries[host], q)
 }
 
+// request returns a request of the numbered point.
+func request(route table.Route, number int) steer.Request {
+	return steer.Request{
+		Route: route.Name,
+		Team:  teamOf(number),
+		Point: steer.Point(uint64(number+1) * 0x9e3779b97f4a7c15),
+	}
+}
+
+func originOf(e *entry, q steer.Request) origin {
+	return origin{
+		region: e.region,
+		route:  q.Route,
+		point:  q.Point,
+	}
+}
+
 // teamOf gives the points to eight teams, two of them large.
 func teamOf(number int) string {
 	if number%2 == 0 {
@@ -192,6 +209,9 @@
 		f.refuse(err)
 		return
 	}
+	if d.Crosses {
+		f.crossed++
+	}
 	f.send(e, q, d, f.now.Add(slotWait))
 }
 
@@ -208,12 +228,13 @@
 		f.refuse(err)
 		return
 	}
-	f.count(q, d)
+	f.count(e, q, d)
+	arrived := until.Add(-slotWait)
 	delay := zoneDelay
 	if d.Region != e.region {
 		delay = linkDelay
 	}
-	f.after(delay, func() { f.serve(e, q, r, delay) })
+	f.after(delay, func() { f.serve(e, q, r, arrived, delay) })
 }
 
 // tell tells the router what the pool said.
@@ -238,7 +259,7 @@
 
 // count is the oracle: it counts the moves and the running requests, and knows
 // nothing of plans and tokens.
-func (f *fleet) count(q steer.Request, d steer.Decision) {
+func (f *fleet) count(e *entry, q steer.Request, d steer.Decision) {
 	name := backend.SlotLimit(d.Service, d.Region)
 	f.running[name]++
 	if f.running[name] > f.capacity[name] {
@@ -247,26 +268,10 @@
 	if d.Region == f.user.regions[0] {
 		f.lastSent = f.age()
 	}
-	key := origin{
-		route: q.Route,
-		point: q.Point,
-	}
+	key := originOf(e, q)
 	f.places[key] = d.Region
-	home, known := f.homes[key]
-	if !known {
-		f.homes[key] = d.Region
-	}
-	if !known || home == d.Region {
-		return
-	}
-	meter := f.meters[steer.ShiftLimit(home, d.Region)]
-	if meter.first.IsZero() {
-		meter.first = f.now
-	}
-	burst := meter.leak(f.now)
-	meter.used++
-	if meter.used > burst+1 {
-		meter.over++
+	if home := f.homes[key]; home != d.Region {
+		f.meters[steer.ShiftLimit(home, d.Region)].count(f.now)
 	}
 }
 
@@ -276,15 +281,12 @@
 	maps.Copy(f.homes, f.places)
 }
 
-func (f *fleet) serve(e *entry, q steer.Request, r *backend.Reservation, delay time.Duration) {
+func (f *fleet) serve(e *entry, q steer.Request, r *backend.Reservation, arrived time.Time, delay time.Duration) {
 	s := f.servers[r.Server]
 	outcome := backend.Outcome(backend.Answered{})
 	service := time.Duration((0.5 + f.random.Float64()) * float64(warmService))
 	cached := cache{
-		origin: origin{
-			route: q.Route,
-			point: q.Point,
-		},
+		origin: originOf(e, q),
 		region: r.Region,
 	}
 	if !f.warm[cached] && f.homes[cached.origin] != r.Region {
@@ -299,7 +301,7 @@
 	}
 	f.after(service, func() {
 		f.warm[cached] = true
-		f.after(delay, func() { f.finish(e, q, r, outcome) })
+		f.after(delay, func() { f.finish(e, q, r, arrived, outcome) })
 	})
 }
 
@@ -320,7 +322,7 @@
 	return backend.Answered{}
 }
 
-func (f *fleet) finish(e *entry, q steer.Request, r *backend.Reservation, outcome backend.Outcome) {
+func (f *fleet) finish(e *entry, q steer.Request, r *backend.Reservation, arrived time.Time, outcome backend.Outcome) {
 	f.running[backend.SlotLimit(r.Service, r.Region)]--
 	e.pool.Done(r, outcome)
 	if _, answered := outcome.(backend.Answered); !answered {
@@ -328,15 +330,7 @@
 		return
 	}
 	f.answered[q.Team]++
-}
-
-// overCap returns how many moves were above a cap.
-func (f *fleet) overCap() int {
-	over := 0
-	for _, m := range f.meters {
-		over += m.over
-	}
-	return over
+	f.latencies = append(f.latencies, f.now.Sub(arrived))
 }
 
 // servedParts returns the parts of their requests that the worst-served small
