--- a/admission/admission.go
+++ b/admission/admission.go
@@ -17,6 +17,7 @@
 		Register: register,
 		Claims:   claims,
 		Send:     client.Send,
+		IsHost:   list.IsEntryHost,
 	}
 	outcome := desk.Serve(ctx, request, team, func(ctx context.Context) exchange.Outcome {
 		return sender.Do(ctx, request, pick)
@@ -91,7 +92,12 @@
 	return request.Withhold(reason)
 }
 
+// isNamed tells whether the request may have run when it was sent before under
+// its name.
 func isNamed(request *exchange.Request) bool {
+	if request.Idempotent {
+		return false
+	}
 	return request.Header.Get(header.Ticket) != "" || idempotencyKey(request) != ""
 }
 
--- a/admission/desk.go
+++ b/admission/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,15 +23,24 @@
 	Claims *ticket.Claims
 	// Send passes a request to the host that issued its ticket.
 	Send Send
+	// IsHost tells whether the address is that of an entry host, by the
+	// platform's list. A ticket is the caller's word: without the check, a
+	// forged one would have the host send the request, with its key, to any
+	// address. If it is nil, nothing is passed on.
+	IsHost func(address netip.AddrPort) bool
 
 	settling sync.WaitGroup
 }
 
 // Serve runs the request if it may run, passes it to the host that may run it,
 // or says what came of it before. The holder is the team whose key came with
-// the request, empty on routes open to all. A named request gets its name from
-// its ticket.
+// the request, empty on routes open to all. A request that comes with a ticket or
+// an idempotency key gets its name from that. An idempotent request needs no
+// name, and runs each time that it is sent.
 func (d *Desk) Serve(ctx context.Context, request *exchange.Request, holder string, run Run) exchange.Outcome {
+	if request.Idempotent {
+		return run(ctx)
+	}
 	if text := request.Header.Get(header.Ticket); text != "" {
 		return d.serveTicket(ctx, request, text, holder, run)
 	}
@@ -69,7 +79,7 @@
 // pass sends the request to the host that issued its ticket. A host that can't
 // be reached may have admitted the name before.
 func (d *Desk) pass(ctx context.Context, request *exchange.Request, issuer ticket.Elsewhere) exchange.Outcome {
-	if request.Header.Get(header.PassedBy) != "" || d.Send == nil {
+	if request.Header.Get(header.PassedBy) != "" || !d.mayPassTo(issuer.Host) {
 		return held(request, IssuerGone, nil)
 	}
 	h := request.Header.Clone()
@@ -90,7 +100,12 @@
 	return outcome
 }
 
+func (d *Desk) mayPassTo(host netip.AddrPort) bool {
+	return d.Send != nil && d.IsHost != nil && d.IsHost(host)
+}
+
 func (d *Desk) serveKey(ctx context.Context, request *exchange.Request, key, holder string, run Run) exchange.Outcome {
+	request.Name = ticket.ClaimID(holder, key)
 	decision, err := d.Claims.Admit(ctx, holder, key)
 	var wrong *ticket.KeyError
 	if errors.As(err, &wrong) {
--- /dev/null
+++ b/internal/daemon/limits.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"trefoilline.example/trefoilline/entry"
+	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/table"
+)
+
+// perMille is the whole in thousandths.
+const perMille = 1000
+
+// refreshLimits derives the fleet-wide limits from the table and the list of
+// backend servers.
+func (d *daemon) refreshLimits() {
+	snapshot := d.tables.Current()
+	list := d.machines.Load()
+	if snapshot == nil || list == nil {
+		return
+	}
+	limits := teamLimits(snapshot.Table.Teams)
+	limits = append(limits, steer.FleetLimits(snapshot.Table, list.backends, d.settings.RequestDeadline)...)
+	d.limits.SetLimits(limits)
+}
+
+// measureLimits shows what this host holds of each team's rate.
+func (d *daemon) measureLimits() {
+	status := d.limits.Status()
+	d.measures.Gauge("limits/epoch", int64(status.Epoch))
+	d.measures.Gauge("limits/holders", int64(status.Holders))
+	snapshot := d.tables.Current()
+	if snapshot == nil {
+		return
+	}
+	for _, t := range snapshot.Table.Teams {
+		spare := d.limits.Spare(entry.TeamLimit(t.Name))
+		name := d.measures.Team(t.Name)
+		d.measures.Gauge("limits/tokens/"+name, int64(spare.Tokens))
+		d.measures.Gauge("limits/part-permille/"+name, int64(spare.Part*perMille))
+	}
+}
+
+// teamLimits are the teams' rates and bursts.
+func teamLimits(teams []table.Team) []share.Limit {
+	limits := make([]share.Limit, 0, len(teams))
+	for _, t := range teams {
+		limits = append(limits, share.Limit{
+			Name: entry.TeamLimit(t.Name),
+			Kind: share.Rate{
+				PerSecond: t.Rate,
+				Burst:     t.Burst,
+			},
+		})
+	}
+	return limits
+}
+
+// servicePlace is a service in a region.
+type servicePlace struct {
+	service string
+	region  string
+}
+
+// places returns each service in each region where the table sends it.
+func (d *daemon) places(current *table.Table) []servicePlace {
+	seen := make(map[servicePlace]bool)
+	var places []servicePlace
+	for _, r := range current.Routes {
+		for _, w := range r.Weights {
+			p := servicePlace{
+				service: r.Service,
+				region:  w.Region,
+			}
+			if !seen[p] {
+				seen[p] = true
+				places = append(places, p)
+			}
+		}
+	}
+	return places
+}
