--- a/steer/next.go
+++ b/steer/next.go
@@ -36,13 +36,11 @@
 	for _, route := range t.Routes {
 		share := TableWeights(route, t.Drains, now)
 		for _, origin := range origins(t) {
-			r, found := plan.Route(route.Name, origin)
+			r, found := plan.RouteAt(route.Name, origin)
 			if !found || r.Origin != origin {
-				r = RoutePlan{
-					Route:  route.Name,
-					Origin: origin,
-					Rate:   rate(reports, route.Name, origin),
-				}
+				r.Route = route.Name
+				r.Origin = origin
+				r.Rate = rate(reports, route.Name, origin)
 				changed = true
 			}
 			changed = changed || r.Service != route.Service
--- a/steer/plan.go
+++ b/steer/plan.go
@@ -63,8 +63,8 @@
 	Rate float64 `json:"rate"`
 }
 
-// Route returns the route's plan for the entry hosts of the region, or false.
-func (p Plan) Route(name, origin string) (RoutePlan, bool) {
+// RouteAt returns the route's plan for the entry hosts of the region, or false.
+func (p Plan) RouteAt(name, origin string) (RoutePlan, bool) {
 	for _, r := range p.Routes {
 		if r.Route == name && (r.Origin == origin || r.Origin == "") {
 			return r, true
@@ -72,3 +72,23 @@
 	}
 	return RoutePlan{}, false
 }
+
+// Route returns the route's plan over the entry hosts of all regions, or false.
+// The weights are means by the known rates.
+func (p Plan) Route(name string) (RoutePlan, bool) {
+	var sum RoutePlan
+	for _, r := range p.Routes {
+		if r.Route != name {
+			continue
+		}
+		sum.Route = name
+		sum.Service = r.Service
+		sum.Share = r.Share
+		sum.Settled = sum.Settled.plus(r.Settled, r.Rate)
+		sum.Effective = sum.Effective.plus(r.Effective, r.Rate)
+		sum.Rate += r.Rate
+	}
+	sum.Settled = sum.Settled.normal()
+	sum.Effective = sum.Effective.normal()
+	return sum, sum.Route != ""
+}
--- a/steer/weights.go
+++ b/steer/weights.go
@@ -94,6 +94,20 @@
 	return kept
 }
 
+// plus adds the other weights, times the factor. A factor that is not above zero
+// counts as little, so that weights without known traffic still show.
+func (w Weights) plus(other Weights, factor float64) Weights {
+	factor = max(factor, weightEpsilon)
+	sum := make(Weights, 0, len(w)+len(other))
+	for _, region := range regions(w, other) {
+		sum = append(sum, table.Weight{
+			Region: region,
+			Weight: w.Of(region) + factor*other.Of(region),
+		})
+	}
+	return sum
+}
+
 func (w Weights) total() float64 {
 	sum := 0.0
 	for _, x := range w {
