Add up reports once for a step of the plan

**Cause** A step looked through all reports for each route and region.

**Change** The reports are added up once; the moved traffic of all routes too.

--- a/steer/advance.go
+++ b/steer/advance.go
@@ -11,24 +11,24 @@
 const rateChange = 0.2
 
 // advance settles the last step if it held and takes the next one.
-func (p *Plan) advance(last Plan, t table.Table, reports []Report, missing string, now time.Time) Verdict {
+func (p *Plan) advance(last Plan, t table.Table, measured sums, now time.Time) Verdict {
 	wanted := p.targets()
 	if p.reached(wanted) {
-		return p.renewRates(reports, missing, now)
+		return p.renewRates(measured, now)
 	}
-	if missing != "" {
+	if measured.missing != "" {
 		return Unmeasured{
-			Host: missing,
+			Host: measured.missing,
 		}
 	}
-	if mostLost(reports) {
+	if mostLost(measured.reports) {
 		return RegionLost{}
 	}
-	if v := checkHeld(last, reports); v != nil {
+	if v := checkHeld(last, measured.reports); v != nil {
 		return v
 	}
-	p.settle(reports)
-	return p.takeStep(p.targets(), t.Links, reports)
+	p.settle(measured)
+	return p.takeStep(newChanges(p.Routes, p.targets()), t.Links, measured)
 }
 
 // checkHeld returns nil if the last step held on all hosts.
@@ -55,12 +55,12 @@
 
 // renewRates notes the rates at rest, if they changed: at once if none is known,
 // else now and then.
-func (p *Plan) renewRates(reports []Report, missing string, now time.Time) Verdict {
+func (p *Plan) renewRates(measured sums, now time.Time) Verdict {
 	known := false
 	for _, r := range p.Routes {
 		known = known || r.Rate > 0
 	}
-	if missing != "" || known && now.Sub(p.Written) < RateLife || !p.noteRates(reports) {
+	if measured.missing != "" || known && now.Sub(p.Written) < RateLife || !p.noteRates(measured) {
 		return Reached{}
 	}
 	return Stepped{}
@@ -68,15 +68,15 @@
 
 // noteRates takes the measured rates that differ much from the known, and
 // reports whether any did.
-func (p *Plan) noteRates(reports []Report) bool {
+func (p *Plan) noteRates(measured sums) bool {
 	changed := false
 	for i := range p.Routes {
 		r := &p.Routes[i]
-		measured := rate(reports, r.Route, r.Origin)
-		if measured <= 0 || math.Abs(measured-r.Rate) <= rateChange*r.Rate {
+		found := measured.rate(*r)
+		if found <= 0 || math.Abs(found-r.Rate) <= rateChange*r.Rate {
 			continue
 		}
-		r.Rate = measured
+		r.Rate = found
 		changed = true
 	}
 	return changed
@@ -85,9 +85,9 @@
 // settle takes as settled what the last step moved, and notes the rates. If its
 // moves were denied in part, because the step was too large for the caps, it
 // settles in part: what counts as settled is never more than what was moved.
-func (p *Plan) settle(reports []Report) {
+func (p *Plan) settle(measured sums) {
 	var h hold
-	for _, report := range reports {
+	for _, report := range measured.reports {
 		h.tried += report.Tried
 		h.denied += report.Denied
 	}
@@ -95,41 +95,23 @@
 		r := &p.Routes[i]
 		r.Settled = r.Settled.towards(r.Effective, h.granted())
 	}
-	p.noteRates(reports)
+	p.noteRates(measured)
 }
 
 // takeStep moves each route as far as the caps and the free slots allow.
-func (p *Plan) takeStep(wanted []Weights, links []table.Link, reports []Report) Verdict {
-	changes := p.changes(wanted)
+func (p *Plan) takeStep(changes changes, links []table.Link, measured sums) Verdict {
 	verdict := Verdict(NoRoom{})
-	for i := range p.Routes {
-		r := &p.Routes[i]
-		c := changes[i]
-		part := min(c.partUnderCaps(changes, links), c.partUnderRoom(changes, reports))
+	for i, c := range changes.list {
+		part := min(changes.partUnderCaps(c, links), changes.partUnderRoom(c, measured))
 		if part < leastStep {
 			continue
 		}
-		r.Effective = r.Settled.towards(wanted[i], part)
+		p.Routes[i].Effective = c.settled.towards(c.target, part)
 		verdict = Stepped{}
 	}
 	return verdict
 }
 
-func (p *Plan) changes(wanted []Weights) []change {
-	changes := make([]change, 0, len(p.Routes))
-	for i, r := range p.Routes {
-		changes = append(changes, change{
-			route:   r.Route,
-			service: r.Service,
-			settled: r.Settled,
-			target:  wanted[i],
-			rate:    r.Rate,
-			parts:   movedParts(r.Settled, wanted[i]),
-		})
-	}
-	return changes
-}
-
 // mostLost reports whether most hosts find a region lost.
 func mostLost(reports []Report) bool {
 	lost := 0
--- a/steer/next.go
+++ b/steer/next.go
@@ -12,9 +12,9 @@
 //
 // Without a fresh report of each listed host a plan on its way stands still.
 func Next(plan Plan, t table.Table, m Measurements, now time.Time) (Plan, Verdict) {
-	reports, missing := m.fresh(now)
-	next, changed := follow(plan, t, reports, now)
-	verdict := next.advance(plan, t, reports, missing, now)
+	measured := m.sum(now)
+	next, changed := follow(plan, t, measured, now)
+	verdict := next.advance(plan, t, measured, now)
 	if _, stepped := verdict.(Stepped); !stepped && !changed {
 		return plan, verdict
 	}
@@ -26,7 +26,7 @@
 // follow returns the plan with the routes of the table, and whether that
 // changed anything. A new route starts with the weights that it should have,
 // since it has no traffic to move.
-func follow(plan Plan, t table.Table, reports []Report, now time.Time) (Plan, bool) {
+func follow(plan Plan, t table.Table, measured sums, now time.Time) (Plan, bool) {
 	next := Plan{
 		Step:    plan.Step,
 		Table:   t.Version,
@@ -40,7 +40,7 @@
 			if !found || r.Origin != origin {
 				r.Route = route.Name
 				r.Origin = origin
-				r.Rate = rate(reports, route.Name, origin)
+				r.Rate = measured.rate(r)
 				changed = true
 			}
 			changed = changed || r.Service != route.Service
@@ -80,24 +80,16 @@
 // targets returns the weights that each route should have in the end: as near
 // to the entry hosts as the table's weights allow.
 func (p *Plan) targets() []Weights {
-	wanted := make([]Weights, 0, len(p.Routes))
+	flows := make(map[string]Weights)
 	for _, r := range p.Routes {
-		wanted = append(wanted, localWeights(r, p.flows(r.Route)))
+		flows[r.Route] = append(flows[r.Route], table.Weight{
+			Region: r.Origin,
+			Weight: r.Rate,
+		})
 	}
-	return wanted
-}
-
-// flows returns the requests per second of the route at the entry hosts of each
-// region.
-func (p *Plan) flows(route string) Weights {
-	var flows Weights
+	wanted := make([]Weights, 0, len(p.Routes))
 	for _, r := range p.Routes {
-		if r.Route == route {
-			flows = append(flows, table.Weight{
-				Region: r.Origin,
-				Weight: r.Rate,
-			})
-		}
+		wanted = append(wanted, localWeights(r, flows[r.Route].normal()))
 	}
-	return flows.normal()
+	return wanted
 }
--- a/steer/report.go
+++ b/steer/report.go
@@ -47,60 +47,91 @@
 	Reports []Report
 }
 
-// fresh returns the reports of listed hosts that still say something, and the
-// first listed host that has none, if any.
-func (m Measurements) fresh(now time.Time) ([]Report, string) {
+// roomKey is a service in a region.
+type roomKey struct {
+	service string
+	region  string
+}
+
+// routeKey is a route at the entry hosts of a region, or at all if the origin is
+// empty.
+type routeKey struct {
+	route  string
+	origin string
+}
+
+// sums is what the fresh reports say in all.
+type sums struct {
+	reports []Report
+	// missing is the first listed host without a fresh report, if any.
+	missing string
+	// rates are in requests per second.
+	rates map[routeKey]float64
+	rooms map[roomKey]Room
+}
+
+// sum adds up the reports of listed hosts that still say something.
+func (m Measurements) sum(now time.Time) sums {
 	byHost := make(map[string]Report, len(m.Reports))
 	for _, r := range m.Reports {
 		if now.Sub(r.Taken) <= ReportLife {
 			byHost[r.Host] = r
 		}
 	}
-	reports := make([]Report, 0, len(byHost))
-	missing := ""
+	s := sums{
+		rates: make(map[routeKey]float64),
+		rooms: make(map[roomKey]Room),
+	}
 	for _, name := range m.Hosts {
 		r, found := byHost[name]
 		if found {
-			reports = append(reports, r)
+			s.add(r)
 			continue
 		}
-		if missing == "" {
-			missing = name
+		if s.missing == "" {
+			s.missing = name
 		}
 	}
-	return reports, missing
+	return s
 }
 
-// rate returns the route's requests per second at the hosts of the origin, or
-// at all if the origin is empty.
-func rate(reports []Report, route, origin string) float64 {
-	sum := 0.0
-	for _, report := range reports {
-		if origin != "" && report.Region != origin {
-			continue
+func (s *sums) add(report Report) {
+	s.reports = append(s.reports, report)
+	for _, r := range report.Routes {
+		s.rates[routeKey{
+			route: r.Route,
+		}] += r.Rate
+		if report.Region != "" {
+			s.rates[routeKey{
+				route:  r.Route,
+				origin: report.Region,
+			}] += r.Rate
 		}
-		for _, r := range report.Routes {
-			if r.Route == route {
-				sum += r.Rate
-			}
+	}
+	for _, r := range report.Rooms {
+		key := roomKey{
+			service: r.Service,
+			region:  r.Region,
 		}
+		sum := s.rooms[key]
+		sum.Running += r.Running
+		sum.Slots = max(sum.Slots, r.Slots)
+		s.rooms[key] = sum
 	}
-	return sum
 }
 
-// room returns the use of the service's slots in the region over the reports.
-func room(reports []Report, service, region string) Room {
-	sum := Room{
-		Service: service,
-		Region:  region,
-	}
-	for _, report := range reports {
-		for _, r := range report.Rooms {
-			if r.Service == service && r.Region == region {
-				sum.Running += r.Running
-				sum.Slots = max(sum.Slots, r.Slots)
-			}
-		}
-	}
-	return sum
+// rate returns the requests per second of the route at the origin.
+func (s sums) rate(r RoutePlan) float64 {
+	return s.rates[routeKey{
+		route:  r.Route,
+		origin: r.Origin,
+	}]
+}
+
+// room returns the use of the service's slots in the region.
+func (s sums) room(service, region string) Room {
+	return s.rooms[roomKey{
+		service: service,
+		region:  region,
+	}]
 }
--- a/steer/step.go
+++ b/steer/step.go
@@ -12,80 +12,107 @@
 	service string
 	settled Weights
 	target  Weights
-	// rate is the route's requests per second; zero if not known.
-	rate float64
 	// parts is the traffic that the whole way moves.
 	parts map[pair]float64
 }
 
-// partUnderCaps returns how much of the way one step may go, so that the
-// requests of all changes together stay under the caps between the regions. It
-// is above 1 if the caps allow more than the way.
-func (c change) partUnderCaps(all []change, links []table.Link) float64 {
+// changes is the ways of all routes, with what they move in all.
+type changes struct {
+	list []change
+	// moved is in requests per second.
+	moved map[pair]float64
+	// flows is each route's requests per second; zero if not known.
+	flows map[string]float64
+	// gains is what regions gain of a route, in requests per second.
+	gains map[routeKey]float64
+}
+
+// newChanges returns the changes of the routes to their targets.
+func newChanges(routes []RoutePlan, targets []Weights) changes {
+	c := changes{
+		moved: make(map[pair]float64),
+		flows: make(map[string]float64),
+		gains: make(map[routeKey]float64),
+	}
+	for i, r := range routes {
+		c.add(r, targets[i])
+	}
+	return c
+}
+
+func (c *changes) add(r RoutePlan, target Weights) {
+	parts := movedParts(r.Settled, target)
+	for direction, part := range parts {
+		c.moved[direction] += r.Rate * part
+	}
+	c.flows[r.Route] += r.Rate
+	for _, x := range target {
+		c.gains[gainOf(r.Route, x.Region)] += r.Rate * (x.Weight - r.Settled.Of(x.Region))
+	}
+	c.list = append(c.list, change{
+		route:   r.Route,
+		service: r.Service,
+		settled: r.Settled,
+		target:  target,
+		parts:   parts,
+	})
+}
+
+// gainOf is the key of what the region gains of the route.
+func gainOf(route, region string) routeKey {
+	return routeKey{
+		route:  route,
+		origin: region,
+	}
+}
+
+// partUnderCaps returns how much of its way the change may go in one step, so
+// that the requests of all changes together stay under the caps between the
+// regions. It is above 1 if the caps allow more than the way.
+func (c changes) partUnderCaps(one change, links []table.Link) float64 {
 	part := math.Inf(1)
-	for direction := range c.parts {
-		part = min(part, c.partUnderCap(direction, all, links))
+	for direction := range one.parts {
+		part = min(part, c.partUnderCap(one, direction, links))
 	}
 	return part
 }
 
-func (c change) partUnderCap(direction pair, all []change, links []table.Link) float64 {
+func (c changes) partUnderCap(one change, direction pair, links []table.Link) float64 {
 	limit := shiftCap(links, direction)
 	if limit <= 0 {
 		return 0
 	}
-	if !known(all, c.route) {
+	if c.flows[one.route] <= 0 {
 		return blindStep
 	}
-	moved := 0.0
-	for _, other := range all {
-		moved += other.rate * other.parts[direction]
-	}
-	return limit / moved
-}
-
-// known reports whether the route's traffic is known.
-func known(all []change, route string) bool {
-	for _, c := range all {
-		if c.route == route && c.rate > 0 {
-			return true
-		}
-	}
-	return false
+	return limit / c.moved[direction]
 }
 
-// partUnderRoom returns how much of the way one step may go, so that the
-// regions that gain have free slots for it.
-func (c change) partUnderRoom(all []change, reports []Report) float64 {
+// partUnderRoom returns how much of its way the change may go in one step, so
+// that the regions that gain have free slots for it.
+func (c changes) partUnderRoom(one change, measured sums) float64 {
 	running := 0.0
-	for _, x := range c.target {
-		running += float64(room(reports, c.service, x.Region).Running)
+	for _, x := range one.target {
+		running += float64(measured.room(one.service, x.Region).Running)
 	}
 	part := 1.0
-	for _, x := range c.target {
-		gain := c.gain(all, x.Region) * running
-		r := room(reports, c.service, x.Region)
-		if gain <= 0 || r.Slots == 0 {
+	for _, x := range one.target {
+		gain := c.gain(one, x.Region) * running
+		room := measured.room(one.service, x.Region)
+		if gain <= 0 || room.Slots == 0 {
 			continue
 		}
-		part = min(part, RoomMargin*float64(r.Slots-r.Running)/gain)
+		part = min(part, RoomMargin*float64(room.Slots-room.Running)/gain)
 	}
 	return part
 }
 
 // gain returns how much the region's part of the route's traffic grows in all.
-func (c change) gain(all []change, region string) float64 {
-	flow, gain := 0.0, 0.0
-	for _, other := range all {
-		if other.route == c.route {
-			flow += other.rate
-			gain += other.rate * (other.target.Of(region) - other.settled.Of(region))
-		}
-	}
-	if flow <= 0 {
-		return c.target.Of(region) - c.settled.Of(region)
+func (c changes) gain(one change, region string) float64 {
+	if flow := c.flows[one.route]; flow > 0 {
+		return c.gains[gainOf(one.route, region)] / flow
 	}
-	return gain / flow
+	return one.target.Of(region) - one.settled.Of(region)
 }
 
 // shiftCap returns the cap between the regions in requests per second; zero if
