Write the manual pages of the command-line tool

Cause: each command needs a page that says what its help says.

Change: package manual makes a Markdown page of each command, a test holds the pages and the commands together. Applying a table that differs in no row makes no version, so that a restore sent again makes none either.

Failed try: the first generator asked cobra for a command for completion below each command, which has no end; it now does so for the root alone.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -166,6 +166,7 @@
 
 	require.Contains(t, b.ok(t, "", "table", "restore", "1"), "accepted as version 4")
 	require.Equal(t, strings.Replace(string(text), "version,1,", "version,4,", 1), b.ok(t, "", "table", "get"))
+	require.Contains(t, b.ok(t, "", "table", "restore", "1"), "version 4 stays in force")
 	require.Regexp(t, `(?s)4 .*3 .*2 .*esi.*1 `, b.ok(t, "", "table", "history"))
 	require.Contains(t, b.ok(t, "", "table", "diff", "--from", "2", "--to", "3"), "rate 40 -> 60")
 }
--- /dev/null
+++ b/internal/command/manual/manual.go
@@ -0,0 +1,105 @@
+/*
+Package manual writes the manual pages of the command-line tool, one Markdown
+page for each command.
+
+# Usage
+
+	for _, page := range manual.Pages(command.New()) {
+		os.WriteFile(filepath.Join("docs/man", page.File), []byte(page.Text), 0o644)
+	}
+
+The pages in docs/man are brought up to date by
+
+	go test ./internal/command/manual -args -update
+*/
+package manual
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+// Page is the manual page of one command.
+type Page struct {
+	// File is the name of the file, without a directory.
+	File string
+	Text string
+}
+
+// Pages returns the pages of the root command and of all below it, but for
+// hidden commands and the help.
+func Pages(root *cobra.Command) []Page {
+	// The root alone has a command for completion; below it, each would get one
+	// of its own.
+	root.InitDefaultCompletionCmd()
+	return appendPages(nil, root)
+}
+
+func appendPages(pages []Page, c *cobra.Command) []Page {
+	c.InitDefaultHelpFlag()
+	pages = append(pages, pageOf(c))
+	for _, child := range c.Commands() {
+		if child.IsAvailableCommand() {
+			pages = appendPages(pages, child)
+		}
+	}
+	return pages
+}
+
+func fileOf(c *cobra.Command) string {
+	return strings.ReplaceAll(c.CommandPath(), " ", "-") + ".md"
+}
+
+func pageOf(c *cobra.Command) Page {
+	var text strings.Builder
+	fmt.Fprintf(&text, "# %s\n\n%s.\n", c.CommandPath(), strings.TrimSuffix(c.Short, "."))
+	if c.Runnable() && !c.HasAvailableSubCommands() {
+		block(&text, "Usage", c.UseLine())
+	}
+	if c.Long != "" {
+		block(&text, "Description", c.Long)
+	}
+	if c.Example != "" {
+		block(&text, "Example", c.Example)
+	}
+	flags(&text, "Flags", c.NonInheritedFlags())
+	flags(&text, "Flags of every command", c.InheritedFlags())
+	related(&text, c)
+	return Page{
+		File: fileOf(c),
+		Text: text.String(),
+	}
+}
+
+// block writes a section as it stands; the help is laid out for terminals.
+func block(text *strings.Builder, title, body string) {
+	fmt.Fprintf(text, "\n## %s\n\n```text\n%s\n```\n", title, strings.Trim(body, "\n"))
+}
+
+func flags(text *strings.Builder, title string, set *pflag.FlagSet) {
+	if set.HasAvailableFlags() {
+		block(text, title, strings.TrimRight(set.FlagUsages(), "\n"))
+	}
+}
+
+func related(text *strings.Builder, c *cobra.Command) {
+	var lines []string
+	if c.HasParent() {
+		lines = append(lines, line(c.Parent()))
+	}
+	for _, child := range c.Commands() {
+		if child.IsAvailableCommand() {
+			lines = append(lines, line(child))
+		}
+	}
+	if len(lines) > 0 {
+		fmt.Fprintf(text, "\n## See also\n\n%s", strings.Join(lines, ""))
+	}
+}
+
+func line(c *cobra.Command) string {
+	return fmt.Sprintf("- [%s](%s): %s\n", c.CommandPath(), fileOf(c), c.Short)
+}
--- /dev/null
+++ b/internal/command/manual/manual_test.go
@@ -0,0 +1,51 @@
+package manual_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/internal/command"
+	"trefoilline.example/trefoilline/internal/command/manual"
+)
+
+var update = flag.Bool("update", false, "write the pages instead of comparing them")
+
+const directory = "../../../docs/man"
+
+// TestPagesAreUpToDate holds docs/man and the commands together.
+func TestPagesAreUpToDate(t *testing.T) {
+	pages := manual.Pages(command.New())
+	for _, page := range pages {
+		file := filepath.Join(directory, page.File)
+		if *update {
+			require.NoError(t, os.WriteFile(file, []byte(page.Text), 0o644))
+		}
+		text, err := os.ReadFile(file)
+		require.NoError(t, err)
+		require.Equal(t, page.Text, string(text), "run: go test ./internal/command/manual -args -update")
+	}
+	files, err := filepath.Glob(filepath.Join(directory, "trefoilline*.md"))
+	require.NoError(t, err)
+	require.Len(t, files, len(pages))
+}
+
+// TestEveryCommandHasAnExample wants an example of each command that does
+// something.
+func TestEveryCommandHasAnExample(t *testing.T) {
+	var visit func(c *cobra.Command)
+	visit = func(c *cobra.Command) {
+		if !c.HasSubCommands() {
+			require.NotEmpty(t, c.Example, c.CommandPath())
+			require.NotEmpty(t, c.Long, c.CommandPath())
+		}
+		for _, child := range c.Commands() {
+			visit(child)
+		}
+	}
+	visit(command.New())
+}
--- a/internal/command/table_apply.go
+++ b/internal/command/table_apply.go
@@ -128,7 +128,12 @@
 		edit.ID = id
 	}
 	if edit.Base == inForce.Version {
-		printChanges(c.OutOrStdout(), fmt.Sprintf("changes to version %d:", inForce.Version), table.Compare(inForce, edit.Table))
+		changes := table.Compare(inForce, edit.Table)
+		printChanges(c.OutOrStdout(), fmt.Sprintf("changes to version %d:", inForce.Version), changes)
+		if len(changes) == 0 && inForce.Version > 0 {
+			fmt.Fprintf(c.OutOrStdout(), "version %d stays in force\n", inForce.Version)
+			return a.waitFor(c, inForce.Version)
+		}
 	}
 	if a.dryRun {
 		return a.rehearse(c, store, inForce, edit)
@@ -142,11 +147,16 @@
 		return err
 	}
 	reportReceipt(c, receipt)
+	return a.waitFor(c, receipt.Version)
+}
+
+// waitFor waits, if that is wanted, until the version is in force everywhere.
+func (a *applying) waitFor(c *cobra.Command, version table.Version) error {
 	if !a.wait.wanted {
 		return nil
 	}
-	return a.wait.until(c, fmt.Sprintf("version %d", receipt.Version), func(s hostStatus) bool {
-		return s.TableVersion >= uint64(receipt.Version)
+	return a.wait.until(c, fmt.Sprintf("version %d", version), func(s hostStatus) bool {
+		return s.TableVersion >= uint64(version)
 	})
 }
 
