--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"time"
 
 	"trefoilline.example/trefoilline/header"
 )
@@ -21,16 +20,18 @@
 	try       *try
 	response  *http.Response
 	announced []string
-	stall     *time.Timer
+	stall     *watchdog
 	received  int64
 	whole     bool
+	lost      bool
 	err       error
 }
 
 // answered tells what became of a try that got an answer.
 func (t *try) answered(response *http.Response) Outcome {
 	if cause := t.misdirected(response); cause != nil {
-		// The order of answers on the open connections can't be trusted.
+		// The order of answers on the open connections can't be trusted, nor
+		// that the backend server still echoes names.
 		t.client.Forget(t.server)
 		defer t.end()
 		return t.unknown(Crossed, cause)
@@ -41,7 +42,13 @@
 			reason: reason,
 		})
 	}
-	if isUnbounded(response) {
+	if reason := response.Header.Get(header.Outcome); t.request.ToHost && reason != "" {
+		defer t.end()
+		return t.unknown(header.Reason(reason), &HostError{
+			Host: t.server,
+		})
+	}
+	if t.request.Method != http.MethodHead && isUnbounded(response) {
 		defer t.end()
 		return t.unknown(Unbounded, &UnboundedAnswerError{
 			Server: t.server,
@@ -54,12 +61,12 @@
 	return t.newAnswered(response)
 }
 
-// misdirected returns an error if the answer names another request. On a kept
-// connection an answer without a name counts as another's, since connections
-// are kept only to servers that echo names.
+// misdirected returns an error if the answer names another request. An answer
+// without a name counts as another's if the backend server is known to echo
+// names, or is an entry host.
 func (t *try) misdirected(response *http.Response) error {
 	echoed := response.Header.Get(header.Request)
-	if echoed == t.request.Name || echoed == "" && !t.kept {
+	if echoed == t.request.Name || echoed == "" && !t.echoes && !t.request.ToHost {
 		return nil
 	}
 	return &CrossedAnswerError{
@@ -99,30 +106,24 @@
 	for name := range response.Trailer {
 		a.announced = append(a.announced, name)
 	}
-	if timeout := t.client.StallTimeout; timeout > 0 {
-		a.stall = time.AfterFunc(timeout, t.stalled)
+	a.stall = &watchdog{
+		span:    t.client.StallTimeout,
+		expired: func() { t.silent(t.client.StallTimeout) },
+		enabled: true,
 	}
 	return a
 }
 
-func (t *try) stalled() {
-	t.cancel(&SilentError{
-		Server:  t.server,
-		Timeout: t.client.StallTimeout,
-	})
-}
-
 // Read reads from the answer's body. It returns [io.EOF] only if the answer is
 // whole, and otherwise a [BrokenAnswerError].
 func (a *Answered) Read(p []byte) (int, error) {
 	if a.err != nil {
 		return 0, a.err
 	}
+	a.stall.run()
 	n, err := a.response.Body.Read(p)
+	a.stall.pause()
 	a.received += int64(n)
-	if a.stall != nil {
-		a.stall.Reset(a.try.client.StallTimeout)
-	}
 	if err == nil {
 		return n, nil
 	}
@@ -133,12 +134,13 @@
 // ended returns io.EOF if the answer came whole.
 func (a *Answered) ended(err error) error {
 	if err == io.EOF {
-		err = a.checkTrailers()
+		err = a.check()
 	}
 	if err == nil {
 		a.whole = true
 		return io.EOF
 	}
+	a.lost = a.try.outgoing.Context().Err() == nil
 	return &BrokenAnswerError{
 		Server:   a.try.server,
 		Received: a.received,
@@ -146,7 +148,14 @@
 	}
 }
 
-func (a *Answered) checkTrailers() error {
+// check compares a body that came to its end with what the answer stated.
+func (a *Answered) check() error {
+	if a.hasBody() && a.Length >= 0 && a.received != a.Length {
+		return &LengthError{
+			Stated:   a.Length,
+			Received: a.received,
+		}
+	}
 	for _, name := range a.announced {
 		if len(a.response.Trailer[name]) == 0 {
 			return &MissingTrailerError{
@@ -157,6 +166,11 @@
 	return nil
 }
 
+// hasBody tells whether the answer has the body that its length states.
+func (a *Answered) hasBody() bool {
+	return a.try.request.Method != http.MethodHead && a.Status != http.StatusNotModified
+}
+
 // Trailer returns the trailers, once the answer is whole.
 func (a *Answered) Trailer() http.Header {
 	if !a.whole {
@@ -175,12 +189,14 @@
 	return nil
 }
 
+// Lost tells whether the answer broke because of the backend server, and not
+// because its caller went away, or the time was over, or it fell silent.
+func (a *Answered) Lost() bool { return a.lost }
+
 // Close ends the answer. The connection of one that was not read to its end is
 // closed, so that the rest of it never meets another request.
 func (a *Answered) Close() {
-	if a.stall != nil {
-		a.stall.Stop()
-	}
+	a.stall.stop()
 	if !a.whole {
 		a.try.gate.abandon()
 	}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -14,8 +14,13 @@
 	DefaultConnectTimeout = 2 * time.Second
 	DefaultIdleTimeout    = 15 * time.Second
 	DefaultIdlePerServer  = 16
+	DefaultAnswerTimeout  = 5 * time.Second
 )
 
+// poolMemory is how long the connections to a backend server are provided for
+// after the last request to it.
+const poolMemory = 10 * time.Minute
+
 // Keep-alive probes find an idle connection that went silent after the idle
 // time and count intervals.
 const (
@@ -39,8 +44,10 @@
 	// IdlePerServer is how many idle connections are kept for each backend
 	// server; [DefaultIdlePerServer] if zero.
 	IdlePerServer int
-	// AnswerTimeout bounds the wait for an answer to begin, besides the
-	// request's deadline; none if zero.
+	// AnswerTimeout bounds the wait for an answer to begin on a connection that
+	// was used before, besides the request's deadline; [DefaultAnswerTimeout] if
+	// zero. A new connection has not gone silent, so a slow backend server gets
+	// all the time there on the next try.
 	AnswerTimeout time.Duration
 	// StallTimeout bounds the wait for the next bytes of an answer; none if
 	// zero.
@@ -53,13 +60,19 @@
 	Violated func(Violation)
 
 	mu sync.Mutex
-	// pools keeps connections to the backend servers that echo request names.
-	// Without the echo nothing tells an answer on a kept connection from that
-	// to another request.
-	pools map[netip.AddrPort]*http.Transport
+	// pools keeps connections to the backend servers known to echo request
+	// names. Without the echo nothing tells an answer on a kept connection from
+	// that to another request.
+	pools map[netip.AddrPort]*pool
 	fresh *http.Transport
 }
 
+// pool is the kept connections to a backend server.
+type pool struct {
+	transport *http.Transport
+	used      time.Time
+}
+
 // Violation is an invariant that did not hold: a request that may run only once
 // was handed over more than once.
 type Violation struct {
@@ -71,11 +84,25 @@
 // for it.
 func (c *Client) Forget(server netip.AddrPort) {
 	c.mu.Lock()
-	pool := c.pools[server]
+	p, found := c.pools[server]
 	delete(c.pools, server)
 	c.mu.Unlock()
-	if pool != nil {
-		pool.CloseIdleConnections()
+	if found {
+		p.transport.CloseIdleConnections()
+	}
+}
+
+// drop closes the idle connections to a backend server. Those in use close when
+// they become idle.
+func (c *Client) drop(server netip.AddrPort) {
+	c.mu.Lock()
+	p, found := c.pools[server]
+	if found {
+		c.pools[server] = c.newPool()
+	}
+	c.mu.Unlock()
+	if found {
+		p.transport.CloseIdleConnections()
 	}
 }
 
@@ -85,8 +112,8 @@
 	pools := c.pools
 	c.pools = nil
 	c.mu.Unlock()
-	for _, pool := range pools {
-		pool.CloseIdleConnections()
+	for _, p := range pools {
+		p.transport.CloseIdleConnections()
 	}
 }
 
@@ -97,20 +124,24 @@
 	return c.Clock()
 }
 
-// transport returns the connections to use for the request: kept ones for an
-// idempotent request to a backend server that echoes names, always a new one
-// for others. It tells whether the connections are kept ones.
-func (c *Client) transport(server netip.AddrPort, idempotent bool) (*http.Transport, bool) {
+// transport returns the connections to use for the request: kept ones if it may
+// use them and the backend server echoes names, else a new one. It tells whether
+// the backend server is known to echo names.
+func (c *Client) transport(server netip.AddrPort, mayUseKept bool) (*http.Transport, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if pool, found := c.pools[server]; found && idempotent {
-		return pool, true
+	p, echoes := c.pools[server]
+	if echoes {
+		p.used = c.now()
+	}
+	if echoes && mayUseKept {
+		return p.transport, true
 	}
 	if c.fresh == nil {
 		c.fresh = c.newTransport()
 		c.fresh.DisableKeepAlives = true
 	}
-	return c.fresh, false
+	return c.fresh, echoes
 }
 
 // keep lets connections to the backend server be kept from now on.
@@ -121,9 +152,28 @@
 		return
 	}
 	if c.pools == nil {
-		c.pools = make(map[netip.AddrPort]*http.Transport)
+		c.pools = make(map[netip.AddrPort]*pool)
+	}
+	c.forgetUnused()
+	c.pools[server] = c.newPool()
+}
+
+// forgetUnused drops what is kept for backend servers that are gone. Their idle
+// connections have closed long before.
+func (c *Client) forgetUnused() {
+	now := c.now()
+	for server, p := range c.pools {
+		if now.Sub(p.used) > poolMemory {
+			delete(c.pools, server)
+		}
+	}
+}
+
+func (c *Client) newPool() *pool {
+	return &pool{
+		transport: c.newTransport(),
+		used:      c.now(),
 	}
-	c.pools[server] = c.newTransport()
 }
 
 func (c *Client) newTransport() *http.Transport {
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -32,7 +32,7 @@
 	}
 	t := c.newTry(ctx, server, request)
 	response, err := t.transport.RoundTrip(t.outgoing)
-	t.stopTimer()
+	t.beginning.stop()
 	if err != nil {
 		return t.failed(err)
 	}
@@ -45,15 +45,16 @@
 	server    netip.AddrPort
 	request   *Request
 	transport *http.Transport
-	// kept tells that the connection may have carried other requests.
-	kept     bool
+	// echoes tells that the backend server is known to echo names.
+	echoes   bool
 	gate     *gate
 	source   *source
 	outgoing *http.Request
 	// caller is the context of the request, which the try's context ends with.
 	caller context.Context
 	cancel context.CancelCauseFunc
-	timer  *time.Timer
+	// beginning watches for the beginning of the answer.
+	beginning *watchdog
 }
 
 func (c *Client) newTry(ctx context.Context, server netip.AddrPort, request *Request) *try {
@@ -64,16 +65,18 @@
 		gate:    &gate{},
 		caller:  ctx,
 	}
-	t.transport, t.kept = c.transport(server, request.Idempotent)
+	timeout := orDefault(c.AnswerTimeout, DefaultAnswerTimeout)
+	t.beginning = &watchdog{
+		span:    timeout,
+		expired: func() { t.silent(timeout) },
+	}
+	t.transport, t.echoes = c.transport(server, request.mayUseKept())
 	inner, cancel := context.WithCancelCause(ctx)
 	t.cancel = cancel
 	trace := &httptrace.ClientTrace{
 		GotConn: t.gotConnection,
 	}
 	t.outgoing = t.build(httptrace.WithClientTrace(inner, trace))
-	if c.AnswerTimeout > 0 {
-		t.timer = time.AfterFunc(c.AnswerTimeout, t.silent)
-	}
 	return t
 }
 
@@ -84,24 +87,23 @@
 	if !isGated || !t.gate.admit(c) {
 		t.cancel(&GateShutError{})
 	}
+	if info.Reused {
+		t.beginning.enable()
+	}
 }
 
-func (t *try) silent() {
+// silent ends a try whose backend server said nothing for the span.
+func (t *try) silent(span time.Duration) {
 	t.cancel(&SilentError{
 		Server:  t.server,
-		Timeout: t.client.AnswerTimeout,
+		Timeout: span,
 	})
 }
 
-func (t *try) stopTimer() {
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
 // build makes the request that goes to the backend server.
 func (t *try) build(ctx context.Context) *http.Request {
 	r := t.request
+	forwarded, query := forwardable(r)
 	outgoing := &http.Request{
 		Method: r.Method,
 		URL: &url.URL{
@@ -109,10 +111,10 @@
 			Host:     t.server.String(),
 			Path:     r.URL.Path,
 			RawPath:  r.URL.RawPath,
-			RawQuery: stripQuery(r.URL.RawQuery, r.Key),
+			RawQuery: query,
 		},
 		Host:       r.Host,
-		Header:     forwardHeader(r.Header, r.Key),
+		Header:     forwarded,
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
@@ -126,13 +128,24 @@
 	return outgoing.WithContext(ctx)
 }
 
+// forwardable returns the headers and the query that go along.
+func forwardable(r *Request) (http.Header, string) {
+	if r.ToHost {
+		return withoutHopByHop(r.Header), r.URL.RawQuery
+	}
+	return ForwardHeader(r.Header, r.Key), ForwardQuery(r.URL.RawQuery, r.Key)
+}
+
 // failed tells what became of a try without an answer.
 func (t *try) failed(err error) Outcome {
 	defer t.end()
 	reason, cause := t.explain(err)
+	if reason == Silent {
+		t.request.silence()
+	}
 	if reason == DeadlineExceeded || reason == Silent {
 		// What swallowed this request may have swallowed every open connection.
-		t.client.Forget(t.server)
+		t.client.drop(t.server)
 	}
 	if proof, isProven := t.gate.close(t.beforeSending(reason), cause); isProven {
 		return t.request.settle(proof)
--- a/exchange/upload.go
+++ b/exchange/upload.go
@@ -16,7 +16,7 @@
 		outgoing.ContentLength = int64(len(b.Content))
 		t.attach(outgoing, bytes.NewReader(b.Content), b.Trailer)
 	default:
-		outgoing.Body = emptyBody(outgoing.Method)
+		outgoing.Body = http.NoBody
 	}
 }
 
@@ -24,10 +24,11 @@
 // the end of the body, without what can carry the key.
 func (t *try) attach(outgoing *http.Request, reader io.Reader, trailer http.Header) {
 	t.source = &source{
-		reader: reader,
+		reader:    reader,
+		beginning: t.beginning,
 	}
 	outgoing.Body = t.source
-	names := forwardTrailer(trailer, t.request.Key)
+	names := t.forwardTrailer(trailer)
 	if len(names) == 0 {
 		return
 	}
@@ -36,25 +37,21 @@
 	for name := range names {
 		outgoing.Trailer[name] = nil
 	}
-	t.source.finish = func() { fillTrailer(outgoing.Trailer, trailer, t.request.Key) }
+	t.source.finish = func() { t.fillTrailer(outgoing.Trailer, trailer) }
 }
 
-// fillTrailer sets the announced trailers that may go to a backend server.
-func fillTrailer(announced, trailer http.Header, key string) {
-	for name, values := range forwardTrailer(trailer, key) {
+// fillTrailer sets the announced trailers that may go along.
+func (t *try) fillTrailer(announced, trailer http.Header) {
+	for name, values := range t.forwardTrailer(trailer) {
 		if _, isAnnounced := announced[name]; isAnnounced {
 			announced[name] = values
 		}
 	}
 }
 
-// emptyBody returns the body of a request without one. A method that usually
-// has a body would send chunks for a body of unknown length, so it gets none;
-// the transport replays such a request only if nothing of it was written.
-func emptyBody(method string) io.ReadCloser {
-	switch method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		return http.NoBody
+func (t *try) forwardTrailer(trailer http.Header) http.Header {
+	if t.request.ToHost {
+		return withoutHopByHop(trailer)
 	}
-	return noReplay{}
+	return forwardTrailer(trailer, t.request.Key)
 }
