Draw measures by percentile and write a report with plots

Cause: operators could see two percentiles of each team and no reason of a refusal, and could keep nothing of a run.

Change: measures asks the hosts for their measures, draws the percentiles of each team's latency, lists refusals by reason, and writes an HTML page with plots.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -132,6 +132,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(trefoillinev1connect.NewFleetServiceHandler(h))
 	mux.Handle(trefoillinev1connect.NewLookUpServiceHandler(h))
+	mux.HandleFunc("GET /trefoilline/measures", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"latency/north-chain": {"count": 11, "median": 2000, "75%": 2500, "95%": 3000, "99%": 4000},
+			"refused/north-chain/over-rate": {"count": 3}, "limits/epoch": {"value": 7}}`))
+	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	b.hosts += "," + strings.TrimPrefix(server.URL, "http://")
@@ -248,7 +252,13 @@
 	require.Equal(t, "accra-2", status.Hosts[1].Name)
 	require.Equal(t, 1, status.Hosts[1].TableVersion)
 	require.Contains(t, b.ok(t, "", "lookup", "203.0.113.7"), "accra for 203.0.113.7")
-	require.Regexp(t, `north-chain +22 +6 +0`, b.ok(t, "", "measures"))
+	page := filepath.Join(t.TempDir(), "run.html")
+	measures := b.ok(t, "", "measures", "--report", page)
+	require.Regexp(t, `north-chain +22 +6 +50 +2ms +#{20}\s+75 +2.5ms +#{25}\s`, measures)
+	require.Contains(t, measures, "north-chain refused, over-rate: 6")
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Contains(t, string(text), `<rect x="50" y="54" width="480" height="12"/>`)
 	require.Contains(t, b.ok(t, "", "watch", "--rounds", "1"), "north-chain")
 	require.Contains(t, b.ok(t, "", "completion", "bash"), "trefoilline")
 }
--- a/internal/command/measures.go
+++ b/internal/command/measures.go
@@ -1,6 +1,9 @@
 package command
 
 import (
+	"cmp"
+	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"strconv"
@@ -13,88 +16,126 @@
 // barWidth is the length of the longest bar, in characters.
 const barWidth = 40
 
-// trefoilline measures
+// trefoilline measures [--report FILE]
 //
-// Shows each team's requests, refusals and latencies as bars.
+// Shows each team's requests, refusals and latencies, and writes a report.
 func newMeasures() *cobra.Command {
-	return addOutput(&cobra.Command{
+	var report string
+	c := addOutput(&cobra.Command{
 		Use:   "measures",
 		Short: "Show each team's requests, refusals and latencies",
-		Long: `Show each team's requests, refusals and latencies over all entry hosts since they
-started, with the 99th percentile of the latency drawn as a bar. Latencies are
-those of the host where the team fares worst.`,
-		Example: "  trefoilline measures --output json",
-		Args:    arguments(cobra.NoArgs),
+		Long: `Show each team's requests, refusals by reason and latencies over all entry hosts
+since they started, with the percentiles of the latency drawn as bars. Counts add
+up over the hosts; a percentile is that of the host where it is highest.
+
+With --report, write the same with plots as an HTML page that needs nothing else.`,
+		Example: `  trefoilline measures --output json
+  trefoilline measures --report run.html`,
+		Args: arguments(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			hosts, err := openHosts(c)
 			if err != nil {
 				return err
 			}
-			return show(c, measure(sampleFleet(time.Now(), hosts.statuses(c.Context()))))
+			list := measure(hosts.samples(c.Context()))
+			if report != "" {
+				err := writeFile(report, func(w io.Writer) error { return writeReport(w, time.Now(), list) })
+				if err != nil {
+					return err
+				}
+			}
+			return show(c, list)
 		},
 	})
+	c.Flags().StringVar(&report, "report", "", "file to write a page with plots to")
+	return c
 }
 
 // measureList is the answer of "measures".
 type measureList struct {
 	// Hosts is how many hosts answered, Silent how many did not.
-	Hosts  int           `json:"hosts"`
-	Silent int           `json:"silent"`
-	Teams  []teamMeasure `json:"teams"`
-}
-
-// teamMeasure is how one team fares.
-type teamMeasure struct {
-	Team     string `json:"team"`
-	Answered uint64 `json:"answered"`
-	OverRate uint64 `json:"over-rate"`
-	Refused  uint64 `json:"refused"`
-	// Latencies are in nanoseconds.
-	LatencyP50 time.Duration `json:"latency-p50"`
-	LatencyP99 time.Duration `json:"latency-p99"`
+	Hosts  int            `json:"hosts"`
+	Silent int            `json:"silent"`
+	Teams  []*teamMeasure `json:"teams"`
 }
 
-func measure(f fleetSample) measureList {
+func measure(hosts []map[string]hostSample) measureList {
 	list := measureList{
-		Teams: []teamMeasure{},
+		Teams: []*teamMeasure{},
 	}
-	for _, h := range f.hosts {
-		if h.Fault != "" {
+	for _, samples := range hosts {
+		if samples == nil {
 			list.Silent++
 			continue
 		}
 		list.Hosts++
+		for _, name := range slices.Sorted(maps.Keys(samples)) {
+			list.add(name, samples[name])
+		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(f.teams)) {
-		t := f.teams[name]
-		list.Teams = append(list.Teams, teamMeasure{
-			Team:       name,
-			Answered:   t.answered,
-			OverRate:   t.overRate,
-			Refused:    t.refused,
-			LatencyP50: t.p50,
-			LatencyP99: t.p99,
-		})
-	}
+	slices.SortFunc(list.Teams, func(a, b *teamMeasure) int { return cmp.Compare(a.Team, b.Team) })
 	return list
 }
 
+func (l measureList) hostsLine() string {
+	return fmt.Sprintf("%d hosts answered, %d did not", l.Hosts, l.Silent)
+}
+
 func (l measureList) grid() grid {
 	g := grid{
-		before: []string{strconv.Itoa(l.Hosts) + " hosts answered, " + strconv.Itoa(l.Silent) + " did not"},
-		header: []string{"TEAM", "ANSWERED", "OVER RATE", "REFUSED", "P50", "P99", ""},
+		before: []string{l.hostsLine()},
+		header: []string{"TEAM", "ANSWERED", "REFUSED", "PERCENTILE", "LATENCY", ""},
 	}
-	var slowest time.Duration
+	slowest := l.slowest()
 	for _, t := range l.Teams {
-		slowest = max(slowest, t.LatencyP99)
+		answered, refused := strconv.FormatInt(t.Answered, 10), strconv.FormatInt(t.Refused, 10)
+		for i, p := range t.Latency.percentiles() {
+			row := []string{"", "", "", p.Name, p.Value.String(), bar(p.Value, slowest)}
+			if i == 0 {
+				copy(row, []string{t.Team, answered, refused})
+			}
+			g.rows = append(g.rows, row)
+		}
+		for _, r := range t.Refusals {
+			g.after = append(g.after, fmt.Sprintf("%s refused, %s: %d", t.Team, r.Reason, r.Count))
+		}
 	}
+	return g
+}
+
+func (l measureList) slowest() time.Duration {
+	var slowest time.Duration
 	for _, t := range l.Teams {
-		g.rows = append(g.rows, []string{
-			t.Team, strconv.FormatUint(t.Answered, 10), strconv.FormatUint(t.OverRate, 10), strconv.FormatUint(t.Refused, 10),
-			t.LatencyP50.String(), t.LatencyP99.String(), bar(t.LatencyP99, slowest),
-		})
+		slowest = max(slowest, t.Latency.P99)
+	}
+	return slowest
+}
+
+// percentile is one of a latency's percentiles.
+type percentile struct {
+	Name  string
+	Value time.Duration
+}
+
+func (l latencies) percentiles() []percentile {
+	return []percentile{
+		{
+			Name:  "50",
+			Value: l.P50,
+		},
+		{
+			Name:  "75",
+			Value: l.P75,
+		},
+		{
+			Name:  "95",
+			Value: l.P95,
+		},
+		{
+			Name:  "99",
+			Value: l.P99,
+		},
 	}
-	return g
 }
 
 func bar(value, most time.Duration) string {
