Count the slots of a region once in the live view

Cause: every host reports all slots of the backend servers it sees; the live view added them up and showed seven times the headroom on a fleet of seven.

Change: slots are the most that any host reports; teams without requests take one line of the measures, reasons without refusals none.

A test with two hosts that report 8 slots now wants 8.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -120,6 +120,16 @@
 			},
 			State:        trefoillinev1.HostState_HOST_STATE_LIVE,
 			TableVersion: version,
+			Regions: []*trefoillinev1.RegionStatus{
+				{
+					Region:  "accra",
+					Service: "storefront",
+					Servers: 2,
+					Usable:  2,
+					Slots:   8,
+					Running: 1,
+				},
+			},
 			Teams: []*trefoillinev1.TeamStatus{
 				{
 					Team:     "north-chain",
@@ -259,6 +269,8 @@
 	text, err := os.ReadFile(page)
 	require.NoError(t, err)
 	require.Contains(t, string(text), `<rect x="50" y="54" width="480" height="12"/>`)
-	require.Contains(t, b.ok(t, "", "watch", "--rounds", "1"), "north-chain")
+	drawn := b.ok(t, "", "watch", "--rounds", "1")
+	require.Contains(t, drawn, "north-chain")
+	require.Regexp(t, `accra +storefront +2 +2 +8 +2 +6`, drawn)
 	require.Contains(t, b.ok(t, "", "completion", "bash"), "trefoilline")
 }
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -27,7 +27,7 @@
 }
 
 // regionSum sums up a service's backend servers in a region. Each host sees all
-// servers, so their number is the largest seen; slots and running requests are
+// servers and their slots, so these are the largest seen; running requests are
 // the hosts' own and add up.
 type regionSum struct {
 	servers uint32
@@ -70,7 +70,7 @@
 		sum := f.regions[key]
 		sum.servers = max(sum.servers, r.GetServers())
 		sum.usable = max(sum.usable, r.GetUsable())
-		sum.slots += r.GetSlots()
+		sum.slots = max(sum.slots, r.GetSlots())
 		sum.running += r.GetRunning()
 		f.regions[key] = sum
 	}
--- a/internal/command/measures.go
+++ b/internal/command/measures.go
@@ -89,7 +89,10 @@
 	slowest := l.slowest()
 	for _, t := range l.Teams {
 		answered, refused := strconv.FormatInt(t.Answered, 10), strconv.FormatInt(t.Refused, 10)
-		for i, p := range t.Latency.percentiles() {
+		if t.Answered == 0 {
+			g.rows = append(g.rows, []string{t.Team, answered, refused, "", "", ""})
+		}
+		for i, p := range t.shownPercentiles() {
 			row := []string{"", "", "", p.Name, p.Value.String(), bar(p.Value, slowest)}
 			if i == 0 {
 				copy(row, []string{t.Team, answered, refused})
@@ -97,12 +100,23 @@
 			g.rows = append(g.rows, row)
 		}
 		for _, r := range t.Refusals {
+			if r.Count == 0 {
+				continue
+			}
 			g.after = append(g.after, fmt.Sprintf("%s refused, %s: %d", t.Team, r.Reason, r.Count))
 		}
 	}
 	return g
 }
 
+// shownPercentiles are none for a team that had no answer.
+func (t *teamMeasure) shownPercentiles() []percentile {
+	if t.Answered == 0 {
+		return nil
+	}
+	return t.Latency.percentiles()
+}
+
 func (l measureList) slowest() time.Duration {
 	var slowest time.Duration
 	for _, t := range l.Teams {
