End publishing processes midway in the races

Cause: an operator's process may end between two of its calls and be run again without knowing what the first run did.

Change: a fifth of the publishing processes in the races end at a random moment and their edit is sent again. The tool's tests wait for a withdrawal on lagging hosts and take hosts from the platform's list.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -242,11 +243,24 @@
 	require.Regexp(t, `north-chain +400 +600 +1 +0 +2`, b.ok(t, "", "team", "list"))
 }
 
+// TestHostsThatThePlatformLists asks those if no host is named.
+func TestHostsThatThePlatformLists(t *testing.T) {
+	b := newBench(t)
+	b.addHost(t, "accra-1", 1)
+	b.memory.Register(platform.Machine{
+		Name:    "accra-1",
+		Kind:    platform.EntryHost,
+		Address: netip.MustParseAddrPort(strings.Trim(b.hosts, ",")),
+	})
+	b.hosts = ""
+	require.Regexp(t, `accra-1 .*live`, b.ok(t, "", "status"))
+}
+
 func TestHosts(t *testing.T) {
 	b := newBench(t)
 	b.fails(t, command.ExitUsage, "--hosts", "", "status")
 	b.ok(t, small, "table", "apply", "-")
-	b.addHost(t, "accra-1", 1)
+	first := b.addHost(t, "accra-1", 1)
 	late := b.addHost(t, "accra-2", 0)
 	require.Contains(t, b.ok(t, "", "table", "status"), "in force on 1 of 2 hosts\nnot on: accra-2")
 	b.fails(t, command.ExitNotInForce, "accra-2", "", "table", "status", "--wait", "--wait-limit", "1ms")
@@ -269,6 +283,16 @@
 	text, err := os.ReadFile(page)
 	require.NoError(t, err)
 	require.Contains(t, string(text), `<rect x="50" y="54" width="480" height="12"/>`)
+	late.status.KeysVersion = 1 << 40
+	key := strings.TrimSpace(b.ok(t, "", "key", "issue", "north-chain"))
+	parsed, err := team.ParseKey(key)
+	require.NoError(t, err)
+	_, errors, code := b.run(t, "", "key", "withdraw", parsed.Hash().String(), "--wait", "--wait-limit", "1ms")
+	require.Equal(t, command.ExitNotInForce, code)
+	require.Contains(t, errors, "the withdrawal is not in force on 1 hosts: accra-1")
+	first.status.KeysVersion = 1 << 40
+	require.Contains(t, b.ok(t, "", "key", "withdraw", parsed.Hash().String(), "--wait"), "in force on 2 of 2 hosts")
+
 	drawn := b.ok(t, "", "watch", "--rounds", "1")
 	require.Contains(t, drawn, "north-chain")
 	require.Regexp(t, `accra +storefront +2 +2 +8 +2 +6`, drawn)
--- a/table/race_test.go
+++ b/table/race_test.go
@@ -1,9 +1,11 @@
 package table_test
 
 import (
+	"context"
 	"errors"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,6 +25,9 @@
 // baselineSeeds bounds the runs without the mechanism, which take longer.
 const baselineSeeds = 3
 
+// endedShare is the share of the processes that publish and end midway.
+const endedShare = 0.2
+
 // readPause is the reader's pause between two loads.
 const readPause = 250 * time.Millisecond
 
@@ -36,8 +41,11 @@
 	mu sync.Mutex
 	// sent counts the edits that hold, as their operators know, by team.
 	sent map[string]int
-	// unsure counts the sendings whose outcome stayed unknown.
-	unsure int
+	// unsure counts the sendings whose outcome stayed unknown, given up those that
+	// ended because the operator's process did.
+	unsure  int
+	givenUp int
+	random  *rand.Rand
 }
 
 // operator makes its edits one after the other: it adds one to a team's rate.
@@ -87,12 +95,21 @@
 func (r *race) send(t *testing.T, publisher table.Publisher, edit table.Edit) bool {
 	unsure := false
 	for {
-		_, err := publisher.Publish(t.Context(), edit)
+		ctx, cancel := r.process(t.Context())
+		_, err := publisher.Publish(ctx, edit)
+		ended := ctx.Err() != nil
+		cancel()
 		var conflict *table.ConflictError
 		var overlap *table.OverlapError
 		var unsent *table.NotPublishedError
 		var unknown *table.UnknownOutcomeError
 		switch {
+		case ended:
+			// Whoever runs the command again knows nothing of the first run.
+			r.mu.Lock()
+			r.givenUp++
+			r.mu.Unlock()
+			unsure = true
 		case err == nil:
 			return true
 		case errors.As(err, &conflict), errors.As(err, &overlap):
@@ -111,6 +128,16 @@
 	}
 }
 
+// process returns the context of a process that publishes; some end midway.
+func (r *race) process(ctx context.Context) (context.Context, context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.random.Float64() >= endedShare {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(r.random.Int64N(int64(300*time.Millisecond))))
+}
+
 func (r *race) newest(t *testing.T) table.Table {
 	reader := table.Reader{}
 	snapshot, err := reader.Load(t.Context(), r.store)
@@ -163,6 +190,7 @@
 // their operators know to hold; the edits of a lost rate count below zero.
 func (r *race) run(t *testing.T, seed uint64) int {
 	r.sent = make(map[string]int)
+	r.random = rand.New(rand.NewPCG(seed, 0))
 	start := parse(t, "kind,name,weight-accra,rate,burst\nregion,accra\nteam,own-1,,1,1\nteam,own-2,,1,1\nteam,shared,,1,1\n")
 	publish(t, r.store, "start", 0, start)
 	var follower table.Follower
@@ -203,7 +231,7 @@
 }
 
 // races runs the race with each seed and adds up its figures.
-func races(t *testing.T, runs int, forget bool) (excess, twice, unsure int) {
+func races(t *testing.T, runs int, forget bool) (excess, twice, unsure, givenUp int) {
 	versions := 0
 	for seed := range uint64(runs) {
 		synctest.Test(t, func(t *testing.T) {
@@ -214,26 +242,29 @@
 			excess += r.run(t, 100*(seed+1))
 			twice += r.versionsOfOneEdit(t)
 			unsure += r.unsure
+			givenUp += r.givenUp
 			versions += int(load(t, r.store).Head.Version)
 		})
 	}
-	t.Logf("%d runs: %d versions, %d edits applied twice, %d versions of an edit beyond its first, %d sendings of unknown outcome",
-		runs, versions, excess, twice, unsure)
-	return excess, twice, unsure
+	t.Logf("%d runs: %d versions, %d edits applied twice, %d versions of an edit beyond its first, %d sendings of unknown outcome, %d given up",
+		runs, versions, excess, twice, unsure, givenUp)
+	return excess, twice, unsure, givenUp
 }
 
 // TestRacingOperators wants each edit to hold once, through lost answers, writes
-// that take effect late and calls that do not arrive.
+// that take effect late, calls that do not arrive and operators' processes that
+// end midway.
 func TestRacingOperators(t *testing.T) {
-	excess, twice, unsure := races(t, *seeds, false)
+	excess, twice, unsure, givenUp := races(t, *seeds, false)
 	require.Zero(t, excess)
 	require.Zero(t, twice)
 	require.Positive(t, unsure, "no sending met an unknown outcome")
+	require.Positive(t, givenUp, "no process ended midway")
 }
 
 // TestRacingOperatorsWithoutIdentifiers shows what the identifiers of edits are
 // for: without them the same runs apply edits twice.
 func TestRacingOperatorsWithoutIdentifiers(t *testing.T) {
-	excess, _, _ := races(t, min(*seeds, baselineSeeds), true)
+	excess, _, _, _ := races(t, min(*seeds, baselineSeeds), true)
 	require.Positive(t, excess)
 }
--- a/table/store_test.go
+++ b/table/store_test.go
@@ -70,8 +70,9 @@
 	time.Sleep(time.Duration(random.Int64N(int64(most))))
 }
 
-// call runs a call that takes effect between two delays.
-func (c *client) call(key string, write bool, effect func() error) error {
+// call runs a call that takes effect between two delays. Its caller may give up
+// before it takes effect, or before the answer.
+func (c *client) call(ctx context.Context, key string, write bool, effect func() error) error {
 	locked := func() error {
 		c.store.mu.Lock()
 		defer c.store.mu.Unlock()
@@ -82,7 +83,7 @@
 		return locked()
 	}
 	delay(random, 20*time.Millisecond)
-	if random.Float64() < c.unreached {
+	if random.Float64() < c.unreached || ctx.Err() != nil {
 		return &platform.UnreachedError{
 			Key: key,
 		}
@@ -100,15 +101,15 @@
 	}
 	err := locked()
 	delay(random, 20*time.Millisecond)
-	if write && random.Float64() < c.lost {
+	if write && (random.Float64() < c.lost || ctx.Err() != nil) {
 		return unknown
 	}
 	return err
 }
 
-func (c *client) Get(_ context.Context, key string) (platform.Object, error) {
+func (c *client) Get(ctx context.Context, key string) (platform.Object, error) {
 	var object platform.Object
-	err := c.call(key, false, func() error {
+	err := c.call(ctx, key, false, func() error {
 		var found bool
 		c.store.gets++
 		if object, found = c.store.held[key]; !found {
@@ -133,8 +134,8 @@
 	return json.Marshal(head)
 }
 
-func (c *client) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
-	err := c.call(key, true, func() error {
+func (c *client) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+	err := c.call(ctx, key, true, func() error {
 		held, found := c.store.held[key]
 		c.store.puts++
 		if !holds(condition, held, found) {
@@ -172,16 +173,16 @@
 	return true
 }
 
-func (c *client) Delete(_ context.Context, key string, _ platform.Condition) error {
-	return c.call(key, true, func() error {
+func (c *client) Delete(ctx context.Context, key string, _ platform.Condition) error {
+	return c.call(ctx, key, true, func() error {
 		delete(c.store.held, key)
 		return nil
 	})
 }
 
-func (c *client) List(_ context.Context, prefix string) ([]platform.Object, error) {
+func (c *client) List(ctx context.Context, prefix string) ([]platform.Object, error) {
 	var found []platform.Object
-	err := c.call(prefix, false, func() error {
+	err := c.call(ctx, prefix, false, func() error {
 		for key, object := range c.store.held {
 			if strings.HasPrefix(key, prefix) {
 				found = append(found, object)
