--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -120,6 +121,16 @@
 			},
 			State:        trefoillinev1.HostState_HOST_STATE_LIVE,
 			TableVersion: version,
+			Regions: []*trefoillinev1.RegionStatus{
+				{
+					Region:  "accra",
+					Service: "storefront",
+					Servers: 2,
+					Usable:  2,
+					Slots:   8,
+					Running: 1,
+				},
+			},
 			Teams: []*trefoillinev1.TeamStatus{
 				{
 					Team:     "north-chain",
@@ -132,6 +143,10 @@
 	mux := http.NewServeMux()
 	mux.Handle(trefoillinev1connect.NewFleetServiceHandler(h))
 	mux.Handle(trefoillinev1connect.NewLookUpServiceHandler(h))
+	mux.HandleFunc("GET /trefoilline/measures", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"latency/north-chain": {"count": 11, "median": 2000, "75%": 2500, "95%": 3000, "99%": 4000},
+			"refused/north-chain/over-rate": {"count": 3}, "limits/epoch": {"value": 7}}`))
+	})
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	b.hosts += "," + strings.TrimPrefix(server.URL, "http://")
@@ -166,6 +181,7 @@
 
 	require.Contains(t, b.ok(t, "", "table", "restore", "1"), "accepted as version 4")
 	require.Equal(t, strings.Replace(string(text), "version,1,", "version,4,", 1), b.ok(t, "", "table", "get"))
+	require.Contains(t, b.ok(t, "", "table", "restore", "1"), "version 4 stays in force")
 	require.Regexp(t, `(?s)4 .*3 .*2 .*esi.*1 `, b.ok(t, "", "table", "history"))
 	require.Contains(t, b.ok(t, "", "table", "diff", "--from", "2", "--to", "3"), "rate 40 -> 60")
 }
@@ -227,11 +243,24 @@
 	require.Regexp(t, `north-chain +400 +600 +1 +0 +2`, b.ok(t, "", "team", "list"))
 }
 
+// TestHostsThatThePlatformLists asks those if no host is named.
+func TestHostsThatThePlatformLists(t *testing.T) {
+	b := newBench(t)
+	b.addHost(t, "accra-1", 1)
+	b.memory.Register(platform.Machine{
+		Name:    "accra-1",
+		Kind:    platform.EntryHost,
+		Address: netip.MustParseAddrPort(strings.Trim(b.hosts, ",")),
+	})
+	b.hosts = ""
+	require.Regexp(t, `accra-1 .*live`, b.ok(t, "", "status"))
+}
+
 func TestHosts(t *testing.T) {
 	b := newBench(t)
 	b.fails(t, command.ExitUsage, "--hosts", "", "status")
 	b.ok(t, small, "table", "apply", "-")
-	b.addHost(t, "accra-1", 1)
+	first := b.addHost(t, "accra-1", 1)
 	late := b.addHost(t, "accra-2", 0)
 	require.Contains(t, b.ok(t, "", "table", "status"), "in force on 1 of 2 hosts\nnot on: accra-2")
 	b.fails(t, command.ExitNotInForce, "accra-2", "", "table", "status", "--wait", "--wait-limit", "1ms")
@@ -247,7 +276,25 @@
 	require.Equal(t, "accra-2", status.Hosts[1].Name)
 	require.Equal(t, 1, status.Hosts[1].TableVersion)
 	require.Contains(t, b.ok(t, "", "lookup", "203.0.113.7"), "accra for 203.0.113.7")
-	require.Regexp(t, `north-chain +22 +6 +0`, b.ok(t, "", "measures"))
-	require.Contains(t, b.ok(t, "", "watch", "--rounds", "1"), "north-chain")
+	page := filepath.Join(t.TempDir(), "run.html")
+	measures := b.ok(t, "", "measures", "--report", page)
+	require.Regexp(t, `north-chain +22 +6 +50 +2ms +#{20}\s+75 +2.5ms +#{25}\s`, measures)
+	require.Contains(t, measures, "north-chain refused, over-rate: 6")
+	text, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Contains(t, string(text), `<rect x="50" y="54" width="480" height="12"/>`)
+	late.status.KeysVersion = 1 << 40
+	key := strings.TrimSpace(b.ok(t, "", "key", "issue", "north-chain"))
+	parsed, err := team.ParseKey(key)
+	require.NoError(t, err)
+	_, errors, code := b.run(t, "", "key", "withdraw", parsed.Hash().String(), "--wait", "--wait-limit", "1ms")
+	require.Equal(t, command.ExitNotInForce, code)
+	require.Contains(t, errors, "the withdrawal is not in force on 1 hosts: accra-1")
+	first.status.KeysVersion = 1 << 40
+	require.Contains(t, b.ok(t, "", "key", "withdraw", parsed.Hash().String(), "--wait"), "in force on 2 of 2 hosts")
+
+	drawn := b.ok(t, "", "watch", "--rounds", "1")
+	require.Contains(t, drawn, "north-chain")
+	require.Regexp(t, `accra +storefront +2 +2 +8 +2 +6`, drawn)
 	require.Contains(t, b.ok(t, "", "completion", "bash"), "trefoilline")
 }
