--- a/share/beat.go
+++ b/share/beat.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,14 +18,18 @@
 
 // beats returns the requests for confirmations that are due.
 func (h *Holder) beats(now instant) []Envelope {
-	h.countPledges(now)
+	period := BeatPeriod
+	if h.isDeputy() && now.fast-h.epoch.readAt >= staleRead {
+		h.countPledges(now)
+		period = exchangePeriod
+	}
 	var envelopes []Envelope
 	for _, host := range h.confirmers(now) {
 		if host == h.Host {
 			continue
 		}
 		p := h.peer(host)
-		if now.fast-p.polled < BeatPeriod {
+		if now.fast-p.polled < period {
 			continue
 		}
 		p.polled = now.fast
@@ -63,7 +68,7 @@
 		}
 		return hosts
 	}
-	own := int(xxhash.Sum64String(h.Host) % uint64(len(deputies)))
+	own := h.ownDeputy()
 	hosts := []string{deputies[own].Host}
 	if fresh {
 		return hosts
@@ -74,6 +79,19 @@
 	return append(hosts, h.anyLive(1)...)
 }
 
+// ownDeputy spreads the holders evenly over the deputies.
+func (h *Holder) ownDeputy() int {
+	if h.epoch.place >= 0 {
+		return h.epoch.place % len(h.epoch.deputies)
+	}
+	return int(xxhash.Sum64String(h.Host) % uint64(len(h.epoch.deputies)))
+}
+
+// deputyAt says whether the host is a deputy.
+func (h *Holder) deputyAt(host string) bool {
+	return slices.ContainsFunc(h.epoch.deputies, func(deputy Identity) bool { return deputy.Host == host })
+}
+
 // anyLive picks hosts that the fleet believes alive.
 func (h *Holder) anyLive(number int) []string {
 	var hosts []string
@@ -100,8 +118,8 @@
 	if h.epoch.confirmedAt != never {
 		b.Age = now.fast - h.epoch.confirmedAt
 	}
-	if h.isDeputy() && now.fast-h.epoch.readAt >= staleRead {
-		b.Pledges = h.freshPledges(now)
+	if !reply && h.isDeputy() && h.deputyAt(to) && now.fast-h.epoch.readAt >= staleRead {
+		h.addPledges(&b, now)
 	}
 	return b
 }
@@ -113,18 +131,15 @@
 	}
 }
 
-// freshPledges lists the pledges that this deputy heard itself.
-func (h *Holder) freshPledges(now instant) []Pledge {
-	var pledges []Pledge
+// addPledges lists the pledges that this deputy heard itself.
+func (h *Holder) addPledges(b *Beat, now instant) {
 	for place, at := range h.epoch.heard {
-		if at != never && now.fast-at < staleBeat && place != h.epoch.place {
-			pledges = append(pledges, Pledge{
-				Place: place,
-				Age:   (now.fast - at).Truncate(time.Millisecond) + time.Millisecond,
-			})
+		if at == never || now.fast-at >= staleBeat || place == h.epoch.place {
+			continue
 		}
+		b.Places = append(b.Places, place)
+		b.Ages = append(b.Ages, byte((now.fast-at)/ageUnit)+1)
 	}
-	return pledges
 }
 
 func (h *Holder) receiveBeat(b Beat, now instant) []Envelope {
@@ -180,12 +195,14 @@
 		h.epoch.heard[place] = max(h.epoch.heard[place], b.Echo)
 		h.pledgeAt(place, b.Echo)
 	}
-	for _, pledge := range b.Pledges {
-		if pledge.Age >= 0 {
-			h.pledgeAt(pledge.Place, b.Echo-pledge.Age)
+	for rank, place := range b.Places {
+		if rank < len(b.Ages) {
+			h.pledgeAt(place, b.Echo-time.Duration(b.Ages[rank])*ageUnit)
 		}
 	}
-	h.countPledges(now)
+	if h.isDeputy() {
+		h.countPledges(now)
+	}
 }
 
 func (h *Holder) pledgeAt(place int, at time.Duration) {
--- a/share/borrow.go
+++ b/share/borrow.go
@@ -60,7 +60,7 @@
 	if missing < leastDemand && len(b.borrowed) == 0 {
 		return
 	}
-	lenders := b.lenders(h.identity)
+	lenders := b.lenders(h.epoch.acting)
 	wants := b.wants(lenders, missing, now)
 	for place, l := range lenders {
 		want := wants[place]
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -37,7 +37,10 @@
 
 // lent is a part that another host uses.
 type lent struct {
-	to       Identity
+	to Identity
+	// as is the holder that the borrower asked, which may be an earlier process
+	// of this host; the borrower counts it apart.
+	as       Identity
 	sequence uint64
 	want     float64
 	part     float64
--- a/share/confirm.go
+++ b/share/confirm.go
@@ -9,8 +9,11 @@
 )
 
 // leastDeputies is how many hosts confirm epochs for the others in a small
-// fleet; in a large one the square root of its size does.
-const leastDeputies = 7
+// fleet; in a large one deputyFactor times the square root of its size do.
+const (
+	leastDeputies = 7
+	deputyFactor  = 0.6
+)
 
 // never is earlier than any time since the start.
 const never time.Duration = math.MinInt64 / 4
@@ -21,8 +24,10 @@
 	homes      homes
 	// deputies are the holders that read the store and confirm for the others.
 	deputies []Identity
-	// place is the holder's own place in the allocation, or -1.
-	place int
+	// acting is the holder that this process is in this epoch: itself, or an
+	// earlier process of the host that has ended. place is its place, or -1.
+	acting Identity
+	place  int
 	// adopted is when this process learned of the epoch, and wait how long a
 	// gain waits from then.
 	adopted time.Duration
@@ -62,17 +67,33 @@
 	return h.epoch.first || now.slow >= h.epoch.adopted+h.epoch.wait
 }
 
+// actingIn is the holder of the allocation that this process stands for. If it
+// is the only process of its host, it takes the place of an earlier one, after
+// the same wait as for any gain.
+func (h *Holder) actingIn(a Allocation) Identity {
+	if !h.Exclusive {
+		return h.identity
+	}
+	place, found := slices.BinarySearchFunc(a.Holders, h.identity, byHost)
+	if found && a.Holders[place].Incarnation < h.identity.Incarnation {
+		return a.Holders[place]
+	}
+	return h.identity
+}
+
 // adopt takes over a newer allocation.
 func (h *Holder) adopt(a Allocation, now instant) {
 	confirmed := h.confirmed(now)
+	acting := h.actingIn(a)
 	h.epoch = epochState{
 		allocation:  a,
 		homes:       newHomes(a),
 		deputies:    deputiesOf(a),
-		place:       a.index(h.identity),
+		acting:      acting,
+		place:       a.index(acting),
 		adopted:     now.slow,
 		wait:        outlast(Lapse),
-		first:       a.Epoch == 1,
+		first:       a.Epoch == 1 && acting == h.identity,
 		confirmedAt: never,
 		readAt:      never,
 		pledges:     slices.Repeat([]time.Duration{never}, len(a.Holders)),
@@ -91,13 +112,13 @@
 		if h.epoch.first {
 			wait = 0
 		}
-		b.adopt(partOf(h.identity, b.homes), now, confirmed, wait)
+		b.adopt(partOf(acting, b.homes), now, confirmed, wait)
 	}
 }
 
 // deputiesOf picks the same few holders in every epoch, as far as they remain.
 func deputiesOf(a Allocation) []Identity {
-	number := max(leastDeputies, int(math.Ceil(math.Sqrt(float64(len(a.Holders))))))
+	number := max(leastDeputies, int(math.Ceil(deputyFactor*math.Sqrt(float64(len(a.Holders))))))
 	ranked := slices.Clone(a.Holders)
 	slices.SortStableFunc(ranked, func(x, y Identity) int {
 		first, second := mix(xxhash.Sum64String(x.Host)), mix(xxhash.Sum64String(y.Host))
@@ -109,12 +130,13 @@
 	return ranked[:min(number, len(ranked))]
 }
 
-func (h *Holder) isDeputy() bool { return slices.Contains(h.epoch.deputies, h.identity) }
+func (h *Holder) isDeputy() bool { return slices.Contains(h.epoch.deputies, h.epoch.acting) }
 
 // pledging says whether this process holds the epoch and promised no
-// successor.
+// successor. It can't pledge for an earlier process, whose promises it does not
+// know.
 func (h *Holder) pledging() bool {
-	return h.epoch.place >= 0 && len(h.epoch.promises) == 0
+	return h.epoch.place >= 0 && h.epoch.acting == h.identity && len(h.epoch.promises) == 0
 }
 
 // confirmAt records that the epoch was the newest at this time.
--- a/share/faults_test.go
+++ b/share/faults_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"trefoilline.example/trefoilline/share"
 )
 
@@ -47,13 +49,14 @@
 	kinds := []func(time.Duration, string, string) string{
 		a.kill, a.freeze, a.duplicate, a.cutOneWay, a.cutOff, a.partition,
 		a.storeDown, a.storeUnreached, a.repliesLost, a.messagesLost, a.replaceAll,
+		a.partition, a.join, a.join, a.kill,
 	}
 	a.seen[kinds[f.chance.IntN(len(kinds))](last, name, other)]++
 }
 
 func (a *faults) kill(last time.Duration, name, _ string) string {
 	a.fleet.kill(name)
-	a.fleet.after(last, func() { a.fleet.boot(name) })
+	a.fleet.after(last, func() { a.join(0, name, "") })
 	return "kill"
 }
 
@@ -65,6 +68,14 @@
 	return "freeze"
 }
 
+// join starts a host that is down.
+func (a *faults) join(_ time.Duration, name, _ string) string {
+	if a.fleet.newest(name) == nil {
+		a.fleet.boot(name)
+	}
+	return "join"
+}
+
 // duplicate starts a process beside one that may still run or be frozen.
 func (a *faults) duplicate(time.Duration, string, string) string {
 	name := a.fleet.names[a.fleet.chance.IntN(len(a.fleet.names))]
@@ -94,15 +105,17 @@
 
 // partition parts the fleet in two, one side without the store.
 func (a *faults) partition(last time.Duration, _, _ string) string {
-	border := 1 + a.fleet.chance.IntN(len(a.fleet.names))
-	for place, name := range a.fleet.names {
-		for _, other := range a.fleet.names[border:] {
-			if place < border {
+	far := make(map[string]bool)
+	for _, name := range a.fleet.names {
+		far[name] = a.fleet.chance.IntN(2) == 0
+	}
+	for _, name := range a.fleet.names {
+		for _, other := range a.fleet.names {
+			if far[name] != far[other] {
 				a.cut(last, name, other)
-				a.cut(last, other, name)
 			}
 		}
-		if (place < border) == (a.fleet.chance.IntN(2) == 0) {
+		if far[name] {
 			a.storeUnreached(last, name, "")
 		}
 	}
@@ -145,6 +158,43 @@
 	return "all replaced"
 }
 
+// auditParts requires, time and again, that the parts in use and the tokens left
+// of all processes together stay within each limit, also those of processes
+// that are frozen or cut off. Grants show an excess only when the callers use it.
+func (f *fleet) auditParts(every time.Duration) {
+	f.after(every, func() { f.auditParts(every) })
+	for _, limit := range f.limits {
+		parts, tokens := 0.0, 0.0
+		for _, p := range f.processes {
+			if !p.dead {
+				spare := p.holder.Spare(limit.Name)
+				parts += spare.Part
+				tokens += spare.Tokens
+			}
+		}
+		require.LessOrEqual(f.t, parts, 1+1e-6, "parts of %s at %s", limit.Name, f.now)
+		if rate, ok := limit.Kind.(share.Rate); ok {
+			require.LessOrEqual(f.t, tokens, rate.Burst+1e-6, "tokens of %s at %s", limit.Name, f.now)
+		}
+	}
+}
+
+// tightLimits have small bursts, so that little excess is enough to show.
+func tightLimits() []share.Limit {
+	limits := teamLimits(5)
+	for place, limit := range limits[:4] {
+		limits[place].Kind = share.Rate{
+			PerSecond: limit.Kind.(share.Rate).PerSecond,
+			Burst:     10,
+		}
+	}
+	limits[4].Kind = share.Slots{
+		Count:   30,
+		Longest: 5 * time.Second,
+	}
+	return limits
+}
+
 // useSlots takes slots of a limit and holds them for up to their longest time.
 func (f *fleet) useSlots(limit share.Limit, every time.Duration) {
 	f.after(time.Duration(f.chance.ExpFloat64()*float64(every)), func() { f.useSlots(limit, every) })
@@ -179,23 +229,21 @@
 	for seed := range *seeds {
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			t.Parallel()
-			limits := append(teamLimits(4), share.Limit{
-				Name: "slots/accra",
-				Kind: share.Slots{
-					Count:   30,
-					Longest: 5 * time.Second,
-				},
-			})
+			limits := tightLimits()
 			f := newFleet(t, seed, 7, limits)
+			for place := range 5 {
+				f.names = append(f.names, fmt.Sprintf("spare-%d", place))
+			}
 			for place, limit := range limits[:4] {
 				f.start(&callers{
 					limit:     limit.Name,
 					perSecond: float64(1+place) * limit.Kind.(share.Rate).PerSecond,
-					hosts:     f.names[:7-place],
+					hosts:     f.names[:12-place],
 				})
 			}
 			f.useSlots(limits[4], 20*time.Millisecond)
-			a := f.startFaults(12*time.Second, time.Minute)
+			f.auditParts(100 * time.Millisecond)
+			a := f.startFaults(8*time.Second, 40*time.Second)
 			for range 5 {
 				f.run(time.Minute)
 				requireSafe(t, f)
--- a/share/fleet_test.go
+++ b/share/fleet_test.go
@@ -28,15 +28,18 @@
 	hosts map[string][]*process
 	names []string
 	// cut says which links are down, from the sender to the receiver.
-	cut      map[[2]string]bool
-	loss     float64
-	sent     int
-	bytes    int
-	received map[string]int
-	granted  int
-	refused  int
-	// full hands a started process to the naive variants of the tests.
+	cut       map[[2]string]bool
+	loss      float64
+	sent      int
+	bytes     int
+	received  map[string]int
+	sentBytes map[string]int
+	granted   int
+	refused   int
+	// processes are all that were ever started.
 	processes []*process
+	view      []share.Identity
+	viewed    time.Time
 }
 
 // process is one run of a host's daemon.
@@ -76,14 +79,15 @@
 
 func newFleet(t testing.TB, seed uint64, size int, limits []share.Limit) *fleet {
 	f := &fleet{
-		t:        t,
-		now:      epochZero,
-		chance:   rand.New(rand.NewPCG(seed, 1)),
-		limits:   limits,
-		ledger:   &share.Ledger{},
-		hosts:    make(map[string][]*process),
-		cut:      make(map[[2]string]bool),
-		received: make(map[string]int),
+		t:         t,
+		now:       epochZero,
+		chance:    rand.New(rand.NewPCG(seed, 1)),
+		limits:    limits,
+		ledger:    &share.Ledger{},
+		hosts:     make(map[string][]*process),
+		cut:       make(map[[2]string]bool),
+		received:  make(map[string]int),
+		sentBytes: make(map[string]int),
 	}
 	f.store = newMemoryStore(f)
 	f.ledger.SetLimits(limits)
@@ -163,6 +167,10 @@
 
 // watch stands in for the membership: a peer lives if it was in touch lately.
 func (f *fleet) watch(p *process) {
+	if len(f.names) > 100 && len(f.cut) == 0 {
+		p.holder.SetLive(f.alive())
+		return
+	}
 	live := []share.Identity{p.holder.Identity()}
 	for _, name := range f.names {
 		if name == p.name {
@@ -182,6 +190,21 @@
 	p.holder.SetLive(live)
 }
 
+// alive is the view of a large fleet without cuts, renewed every four seconds.
+func (f *fleet) alive() []share.Identity {
+	if f.now.Sub(f.viewed) < 4*time.Second && f.view != nil {
+		return f.view
+	}
+	f.viewed = f.now
+	f.view = nil
+	for _, name := range f.names {
+		if p := f.newest(name); p != nil && !p.frozen {
+			f.view = append(f.view, p.holder.Identity())
+		}
+	}
+	return f.view
+}
+
 // newest is the last process of the host that was started and not killed.
 func (f *fleet) newest(name string) *process {
 	all := f.hosts[name]
@@ -200,6 +223,7 @@
 		f.sent++
 		f.bytes += len(data)
 		f.received[envelope.To] += len(data)
+		f.sentBytes[p.name] += len(data)
 		f.carry(p, data)
 		if f.loss > 0 && f.chance.Float64() < f.loss {
 			f.carry(p, data)
@@ -261,6 +285,9 @@
 	p.frozen = false
 	away := p.away
 	p.away = nil
+	if p.dead {
+		return
+	}
 	for _, message := range away {
 		f.deliver(p, message)
 	}
--- a/share/holder.go
+++ b/share/holder.go
@@ -14,10 +14,10 @@
 	// Incarnation tells the processes of a host apart; a later process has a
 	// larger one. Zero means the nanoseconds of the clock at the first call.
 	Incarnation uint64
-	// Exclusive says that this process holds the only address at which the
-	// fleet reaches the host, so that no earlier process of the host can hear
-	// any message. Such a process consents to successors of epochs that its
-	// predecessor held.
+	// Exclusive says that every earlier process of the host has ended, which a
+	// daemon knows when it could listen at the host's one address. Such a
+	// process takes the place of its predecessor in the epoch. A false
+	// statement can exceed the limits.
 	Exclusive bool
 	// Clock is the source of time; nil means time.Now.
 	Clock func() time.Time
@@ -141,7 +141,7 @@
 // place gives a new bucket its part of the epoch in force.
 func (h *Holder) place(b *bucket, now instant) {
 	b.homes = h.epoch.homes.of(b.limit.Name)
-	b.target = partOf(h.identity, b.homes)
+	b.target = partOf(h.epoch.acting, b.homes)
 	b.raise = h.epoch.adopted + h.epoch.wait + b.limit.overrun()
 	if h.epoch.first || now.slow >= b.raise {
 		b.part = b.target
--- a/share/lend.go
+++ b/share/lend.go
@@ -11,12 +11,12 @@
 
 // receiveAsk answers the wishes of a borrower.
 func (h *Holder) receiveAsk(m Ask, now instant) []Envelope {
-	if m.To != h.identity || m.From.Host == h.Host {
+	if m.To != h.identity && m.To != h.epoch.acting || m.From.Host == h.Host {
 		return nil
 	}
 	confirmed := h.confirmed(now)
 	answer := Lend{
-		From: h.identity,
+		From: m.To,
 		To:   m.From,
 	}
 	for _, item := range m.Items {
@@ -25,7 +25,7 @@
 			continue
 		}
 		b.settle(now, confirmed)
-		l := b.loanTo(m.From)
+		l := b.loanTo(m.From, m.To)
 		if item.Sequence <= l.sequence {
 			continue
 		}
@@ -49,14 +49,15 @@
 	})
 }
 
-func (b *bucket) loanTo(borrower Identity) *lent {
+func (b *bucket) loanTo(borrower, as Identity) *lent {
 	for _, l := range b.lent {
-		if l.to == borrower {
+		if l.to == borrower && l.as == as {
 			return l
 		}
 	}
 	l := &lent{
 		to: borrower,
+		as: as,
 	}
 	b.lent = append(b.lent, l)
 	return l
@@ -89,7 +90,8 @@
 
 // spare is the part that can be lent to this borrower: what is not lent to
 // others and not needed by the host itself. When the wishes exceed the part,
-// each borrower and the host itself may have an equal portion at least.
+// each borrower and the host itself may have an equal portion at least; hosts
+// that hold equal parts and are short of them do not exchange any.
 func (b *bucket) spare(l *lent, now instant, confirmed bool) float64 {
 	if !confirmed {
 		return 0
@@ -108,6 +110,9 @@
 	}
 	portion := b.part / float64(borrowers+2)
 	reserve := b.demand.needed(b.limit)
+	if reserve > b.part && slices.Contains(b.homes, l.to) {
+		return 0
+	}
 	if reserve > b.part {
 		reserve = max(portion, b.part-wishes-l.want)
 	}
--- a/share/message.go
+++ b/share/message.go
@@ -33,19 +33,16 @@
 	Age time.Duration `json:"age"`
 	// Reply asks for an answer at once.
 	Reply bool `json:"reply,omitempty"`
-	// Pledges lists the ages of other holders' pledges, if the sender has no
-	// confirmation from the store.
-	Pledges []Pledge `json:"pledges,omitempty"`
+	// Places lists the holders of whose pledges the sender knows, and Ages how
+	// old these are in units of 0.1 s, if it can't read the store.
+	Places []int  `json:"places,omitempty"`
+	Ages   []byte `json:"ages,omitempty"`
 	// Allocation is sent to a host that knows only an older epoch.
 	Allocation *Allocation `json:"allocation,omitempty"`
 }
 
-// Pledge is how long ago the holder at this place of the allocation pledged
-// that it promised no successor.
-type Pledge struct {
-	Place int           `json:"p"`
-	Age   time.Duration `json:"a"`
-}
+// ageUnit is the unit of Beat.Ages.
+const ageUnit = 100 * time.Millisecond
 
 // Propose asks a holder to confirm the epoch before no more, so that a
 // successor can be written.
--- a/share/period.go
+++ b/share/period.go
@@ -5,7 +5,7 @@
 // The periods are the same on all hosts; safety depends on that.
 const (
 	// Lapse is how long a confirmation that an epoch is the newest lasts.
-	Lapse = 8 * time.Second
+	Lapse = 12 * time.Second
 	// TickPeriod is how often the daemon calls Holder.Tick.
 	TickPeriod = 250 * time.Millisecond
 	// RefreshPeriod is how often the daemon calls Keeper.Refresh.
@@ -21,8 +21,11 @@
 	// staleRead is the age of a deputy's read of the store at which it asks the
 	// other deputies.
 	staleRead = RefreshPeriod + RefreshPeriod/2
+	// exchangePeriod is how often a deputy that can't read the store asks the
+	// other deputies.
+	exchangePeriod = 3 * time.Second
 	// staleBeat is the age at which a host looks for other confirmations.
-	staleBeat = 2*BeatPeriod + BeatPeriod/2
+	staleBeat = 9 * time.Second
 	// proposalPeriod is how long a proposer waits for consents.
 	proposalPeriod = 6 * time.Second
 )
--- a/share/propose.go
+++ b/share/propose.go
@@ -99,7 +99,7 @@
 func (h *Holder) stagger() time.Duration {
 	rank := 0
 	for _, deputy := range h.epoch.deputies {
-		if deputy == h.identity {
+		if deputy == h.epoch.acting {
 			break
 		}
 		if slices.Contains(h.live, deputy) {
@@ -168,7 +168,7 @@
 	h.proposal.withdraw--
 	var envelopes []Envelope
 	for _, holder := range h.epoch.allocation.Holders {
-		if holder != h.identity {
+		if holder.Host != h.Host {
 			envelopes = append(envelopes, h.proposalTo(holder, true))
 		}
 	}
@@ -181,8 +181,8 @@
 	if p.Epoch != h.epoch.allocation.Epoch+1 || p.To.Host != h.Host {
 		return nil
 	}
-	if p.To != h.identity {
-		return h.consentForPredecessor(p)
+	if p.To != h.epoch.acting {
+		return nil
 	}
 	if h.epoch.place < 0 || p.Proposal <= h.epoch.withdrawn[p.From] {
 		return nil
@@ -198,15 +198,6 @@
 	return consentTo(p)
 }
 
-// consentForPredecessor answers for an earlier process of this host, which can
-// hear no message any more and so confirms nothing.
-func (h *Holder) consentForPredecessor(p Propose) []Envelope {
-	if !h.Exclusive || p.Withdrawn || p.To.Incarnation > h.identity.Incarnation {
-		return nil
-	}
-	return consentTo(p)
-}
-
 func consentTo(p Propose) []Envelope {
 	return []Envelope{
 		{
--- a/share/steady_test.go
+++ b/share/steady_test.go
@@ -38,6 +38,7 @@
 		for _, c := range all {
 			c.reset()
 		}
+		f.store.down = size < 7
 		f.run(2 * time.Minute)
 		for _, c := range all {
 			part := c.reset()
