--- /dev/null
+++ b/share/bench_test.go
@@ -0,0 +1,145 @@
+package share_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"trefoilline.example/trefoilline/share"
+)
+
+// sizes are the hosts and teams of the slopes in docs/share.md.
+var sizes = []struct {
+	hosts int
+	teams int
+}{
+	{
+		hosts: 7,
+		teams: 8,
+	},
+	{
+		hosts: 70,
+		teams: 80,
+	},
+	{
+		hosts: 650,
+		teams: 800,
+	},
+}
+
+// joined is a holder in a settled epoch of this size, with its clock.
+func joined(hosts, teams int) (*share.Holder, *time.Time, share.Allocation) {
+	now := epochZero
+	clock := &now
+	h := &share.Holder{
+		Host:        "host-000",
+		Incarnation: 1,
+		Clock:       func() time.Time { return *clock },
+	}
+	h.SetLimits(teamLimits(teams))
+	var a share.Allocation
+	var live []share.Identity
+	for place := range hosts {
+		live = append(live, share.Identity{
+			Host:        fmt.Sprintf("host-%03d", place),
+			Incarnation: 1,
+		})
+	}
+	a, _ = share.Divide(a, live)
+	h.Observe(a, 0)
+	return h, clock, a
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("hosts-%d/teams-%d", size.hosts, size.teams), func(b *testing.B) {
+			h, clock, a := joined(size.hosts, size.teams)
+			limits := teamLimits(size.teams)
+			for b.Loop() {
+				*clock = clock.Add(time.Millisecond)
+				h.Observe(a, h.Stamp())
+				h.Take(limits[0].Name, 1)
+			}
+		})
+	}
+}
+
+// BenchmarkTick has a tenth of the teams active on the host, the most that
+// look-ups send to one host when each team has a few.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("hosts-%d/teams-%d", size.hosts, size.teams), func(b *testing.B) {
+			h, clock, a := joined(size.hosts, size.teams)
+			limits := teamLimits(size.teams)
+			ticks, bytes := 0, 0
+			for b.Loop() {
+				*clock = clock.Add(share.TickPeriod)
+				h.Observe(a, h.Stamp())
+				for place := range max(1, size.teams/10) {
+					h.Take(limits[place].Name, 1)
+				}
+				ticks++
+				for _, envelope := range h.Tick() {
+					data, err := json.Marshal(envelope)
+					if err != nil {
+						b.Fatal(err)
+					}
+					bytes += len(data)
+				}
+			}
+			period := float64(ticks) * share.TickPeriod.Seconds()
+			b.ReportMetric(float64(bytes)/period, "sent-B/s")
+			b.ReportMetric(100*b.Elapsed().Seconds()/period, "%core")
+		})
+	}
+}
+
+func BenchmarkReceiveAsk(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("hosts-%d/teams-%d", size.hosts, size.teams), func(b *testing.B) {
+			h, clock, a := joined(size.hosts, size.teams)
+			limits := teamLimits(size.teams)
+			sequence := uint64(0)
+			for b.Loop() {
+				*clock = clock.Add(time.Millisecond)
+				h.Observe(a, h.Stamp())
+				sequence++
+				h.Receive(share.Ask{
+					From: a.Holders[1+sequence%uint64(size.hosts-1)],
+					To:   a.Holders[0],
+					Items: []share.AskItem{
+						{
+							Limit:    limits[sequence%uint64(size.teams)].Name,
+							Sequence: sequence,
+							Want:     0.1,
+						},
+					},
+				})
+			}
+		})
+	}
+}
+
+// BenchmarkAdopt is the work of one new epoch and the memory that a host holds.
+func BenchmarkAdopt(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprintf("hosts-%d/teams-%d", size.hosts, size.teams), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			h, clock, a := joined(size.hosts, size.teams)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			value, _ := a.Encode()
+			for b.Loop() {
+				*clock = clock.Add(time.Second)
+				a.Epoch++
+				h.Observe(a, h.Stamp())
+			}
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "state-B")
+			b.ReportMetric(float64(len(value)), "allocation-B")
+		})
+	}
+}
--- a/share/fleet_test.go
+++ b/share/fleet_test.go
@@ -28,8 +28,10 @@
 	hosts map[string][]*process
 	names []string
 	// cut says which links are down, from the sender to the receiver.
-	cut       map[[2]string]bool
-	loss      float64
+	cut  map[[2]string]bool
+	loss float64
+	// back is the chance that what was taken is given back.
+	back      float64
 	sent      int
 	bytes     int
 	received  map[string]int
@@ -83,6 +85,7 @@
 		now:       epochZero,
 		chance:    rand.New(rand.NewPCG(seed, 1)),
 		limits:    limits,
+		back:      0.05,
 		ledger:    &share.Ledger{},
 		hosts:     make(map[string][]*process),
 		cut:       make(map[[2]string]bool),
@@ -315,7 +318,7 @@
 		Time:  f.now,
 		Count: 1,
 	})
-	if f.chance.Float64() < 0.05 {
+	if f.chance.Float64() < f.back {
 		at := f.now
 		f.after(time.Duration(f.chance.Int64N(int64(time.Second))), func() { f.giveBack(p, granted.Grant, at) })
 	}
