Test consents, successors and recovery; keep the first epoch's tokens

Cause: trials without the promise to end a pledge passed the random faults; the example showed that an idle limit had no tokens one second after the first epoch.

Change: directed tests of consents and of successors; the fault runs end with all limits whole again within a minute; a part of the first epoch counts from its adoption. A retry hint counts the slowed refill.

--- a/share/bucket.go
+++ b/share/bucket.go
@@ -190,7 +190,7 @@
 		b.spend(count)
 		return 0, true
 	}
-	rate := b.usable(now, confirmed) * b.limit.perSecond()
+	rate := b.usable(now, confirmed) * b.limit.perSecond() * refill
 	if rate <= 0 {
 		return BeatPeriod, false
 	}
@@ -232,5 +232,8 @@
 		b.raise = now.slow + wait
 	}
 	b.part = min(b.part, part)
+	if wait == 0 {
+		b.part = part
+	}
 	b.clip(b.usable(now, true))
 }
--- a/share/faults_test.go
+++ b/share/faults_test.go
@@ -195,6 +195,30 @@
 	return limits
 }
 
+// heal ends the faults and requires that all limits are whole again within a
+// minute after the last has ended.
+func (f *fleet) heal(a *faults, limits []share.Limit) {
+	a.stopped = true
+	f.run(a.longest)
+	for _, name := range f.names {
+		if len(f.hosts[name]) != 1 || f.newest(name) == nil {
+			f.kill(name)
+			f.boot(name)
+		}
+	}
+	f.run(time.Minute)
+	for _, limit := range limits {
+		parts := 0.0
+		for _, p := range f.processes {
+			if !p.dead {
+				parts += p.holder.Spare(limit.Name).Part
+			}
+		}
+		require.Greater(f.t, parts, 0.9, limit.Name)
+	}
+	requireSafe(f.t, f)
+}
+
 // useSlots takes slots of a limit and holds them for up to their longest time.
 func (f *fleet) useSlots(limit share.Limit, every time.Duration) {
 	f.after(time.Duration(f.chance.ExpFloat64()*float64(every)), func() { f.useSlots(limit, every) })
@@ -248,6 +272,7 @@
 				f.run(time.Minute)
 				requireSafe(t, f)
 			}
+			f.heal(a, limits)
 			t.Logf("granted %d, refused %d, faults %v", f.granted, f.refused, a.seen)
 		})
 	}
--- a/share/rules_test.go
+++ b/share/rules_test.go
@@ -248,6 +248,50 @@
 	}
 }
 
+// A holder that consented confirms its epoch no more, until the proposal is
+// withdrawn; a late copy of it changes nothing then.
+func TestConsentEndsThePledge(t *testing.T) {
+	now := epochZero
+	h := newHolder(func() time.Time { return now })
+	h.Observe(alone1, 0)
+	propose := share.Propose{
+		From: share.Identity{
+			Host:        "accra-2",
+			Incarnation: 1,
+		},
+		To:       h.Identity(),
+		Epoch:    2,
+		Proposal: 7,
+	}
+	require.True(t, pledges(h))
+	require.Len(t, h.Receive(propose), 1)
+	require.False(t, pledges(h))
+	withdrawn := propose
+	withdrawn.Withdrawn = true
+	h.Receive(withdrawn)
+	require.True(t, pledges(h))
+	require.Empty(t, h.Receive(propose))
+	require.True(t, pledges(h))
+}
+
+func pledges(h *share.Holder) bool {
+	return h.Receive(beatFrom("accra-2", 1))[0].Message.(share.Beat).Pledge
+}
+
+// A process that stands for an earlier one does not pledge for it: it does not
+// know what that one promised.
+func TestSuccessorDoesNotPledge(t *testing.T) {
+	now := epochZero
+	h := &share.Holder{
+		Host:        "accra-1",
+		Incarnation: 2,
+		Exclusive:   true,
+		Clock:       func() time.Time { return now },
+	}
+	h.Observe(alone1, 0)
+	require.False(t, pledges(h))
+}
+
 // Any input is decoded or refused, and a holder survives it.
 func FuzzEnvelope(f *testing.F) {
 	f.Add([]byte(`{"to":"accra-1","kind":"beat","body":{"from":{"host":"accra-2","incarnation":1},"epoch":1,"places":[-1,9],"ages":"AQ=="}}`))
