--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -1,12 +1,17 @@
 package daemon
 
 import (
+	"time"
+
 	"trefoilline.example/trefoilline/entry"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
 
+// maxSlotHold bounds the time for which a lost host's slots stay unused.
+const maxSlotHold = 10 * time.Second
+
 // perMille is the whole in thousandths.
 const perMille = 1000
 
@@ -19,7 +24,7 @@
 		return
 	}
 	limits := teamLimits(snapshot.Table.Teams)
-	limits = append(limits, steer.FleetLimits(snapshot.Table, list.backends, d.settings.RequestDeadline)...)
+	limits = append(limits, steer.FleetLimits(snapshot.Table, list.backends, d.slotHold())...)
 	d.limits.SetLimits(limits)
 }
 
@@ -55,6 +60,13 @@
 	return limits
 }
 
+// slotHold is how long a lost host's slots stay unused. A host that died has its
+// requests cancelled with its connections; only one that is cut off from the
+// fleet and still served by backend servers may run a request for longer.
+func (d *daemon) slotHold() time.Duration {
+	return min(maxSlotHold, d.settings.RequestDeadline)
+}
+
 // servicePlace is a service in a region.
 type servicePlace struct {
 	service string
--- a/internal/daemon/losses.go
+++ b/internal/daemon/losses.go
@@ -7,6 +7,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/suspect"
 )
 
@@ -43,6 +46,10 @@
 // returns when they know or the time is out: the caller, who learns of the loss
 // after that, may send the request to any of them.
 func (d *daemon) shareLoss(loss suspect.Loss) {
+	if !loss.Cleared {
+		d.log.Write(observe.RequestSuspected, zap.Stringer("server", loss.Server),
+			zap.Int("lost", d.suspects.Count(loss.Fingerprint)), zap.Any("fingerprint", loss.Fingerprint))
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
 	defer cancel()
 	places := make(chan struct{}, sharesAtOnce)
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -38,16 +38,6 @@
 		Cause:  "The daemon has stopped; cut counts the requests that were still running.",
 		Action: "If cut is above zero, raise --drain-limit: some requests run longer.",
 	}
-	SettingsRefused = Event{
-		Number: 103,
-		Name:   "settings-refused",
-		Level:  zapcore.ErrorLevel,
-		Fields: []string{
-			"error",
-		},
-		Cause:  "A setting is missing or not acceptable; the daemon does not start.",
-		Action: "Mend the settings named in the cause; trefoillined check shows them all.",
-	}
 	TableInForce = Event{
 		Number: 200,
 		Name:   "table-in-force",
@@ -209,11 +199,11 @@
 		Name:   "request-suspected",
 		Level:  zapcore.ErrorLevel,
 		Fields: []string{
-			"request",
-			"route",
-			"team",
+			"fingerprint",
+			"server",
+			"lost",
 		},
-		Cause:  "A request lost two backend servers and is refused from now on.",
+		Cause:  "A backend server broke the connection of a request and answers no more; after two such servers the request is refused.",
 		Action: "Find what in the request crashes the backend server; the sender's other requests go on.",
 	}
 	InvariantBroken = Event{
@@ -235,7 +225,6 @@
 		Started,
 		LeavingStarted,
 		Stopped,
-		SettingsRefused,
 		TableInForce,
 		TableUnreadable,
 		KeysInForce,
--- a/share/baseline_test.go
+++ b/share/baseline_test.go
@@ -105,13 +105,12 @@
 
 // score is the outcome of one way under one skew.
 type score struct {
-	name     string
-	rival    rival
-	ledger   *share.Ledger
-	sent     int
-	refused  int
-	good     int
-	recovery time.Duration
+	name    string
+	rival   rival
+	ledger  *share.Ledger
+	sent    int
+	refused int
+	good    int
 }
 
 func (s *score) offer(host string, now time.Time) {
