--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -40,7 +40,8 @@
 			},
 			{
 				Prefix: "keys/",
-				Head:   "keys-head",
+				Head:      "keys-head",
+				Confirmed: true,
 			},
 		},
 		Rand: rand.New(rand.NewPCG(seed, 1)),
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -17,11 +17,16 @@
 	// view only up to the head's version, so one that lags confirms nothing.
 	// Without a head, watches are trusted.
 	Head string
+	// Confirmed feeds are read often enough for [Node.Confirmation]. Of others
+	// only changes are waited for.
+	Confirmed bool
 }
 
 // feed is this host's view of the objects under a prefix.
 type feed struct {
-	name    string
+	name string
+	// bounded is set if the view may only be acted on while it is confirmed.
+	bounded bool
 	objects map[string]platform.Object
 	// version is the highest of any object; all changes up to it are held.
 	version platform.Version
@@ -50,9 +55,10 @@
 	cut bool
 }
 
-func newFeed(name string) *feed {
+func newFeed(source Feed) *feed {
 	return &feed{
-		name:      name,
+		name:      source.Prefix,
+		bounded:   source.Confirmed,
 		objects:   make(map[string]platform.Object),
 		confirmed: never,
 		tried:     never,
@@ -198,7 +204,7 @@
 
 // learnsFrom tells whether the member is one that this host polls for news.
 func (n *Node) learnsFrom(m *member) bool {
-	return slices.Contains(n.parents(), m) && !n.isReader()
+	return !n.isReader() && slices.Contains(n.parents(), m)
 }
 
 func (n *Node) receiveFeedRequest(request *FeedRequest, now time.Duration) []Envelope {
--- a/fleet/index.go
+++ b/fleet/index.go
@@ -108,6 +108,9 @@
 	return x
 }
 
+// brief is the hash of all records as messages carry it.
+func (x *index) brief() uint32 { return uint32(x.total) }
+
 // derive computes what depends on the zone's records.
 func (z *zoneIndex) derive() {
 	z.changed = false
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -34,7 +34,7 @@
 // Status is a host's state in brief, sent in both directions of a poll.
 type Status struct {
 	// Members is a hash of all records.
-	Members uint64 `json:"members"`
+	Members uint32 `json:"members"`
 	// Feeds has one entry for each feed, in the order of the settings.
 	Feeds []FeedStatus `json:"feeds,omitempty"`
 	// Records are recent changes.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -45,7 +45,11 @@
 	lastTick   time.Duration
 	troubled   time.Duration
 	mismatched time.Duration
-	repaired   time.Duration
+	// matches counts the hosts in a row that agreed on the records.
+	matches  int
+	repaired time.Duration
+	// gained tells whether the last repair brought news.
+	gained     bool
 	cycle      []string
 	violations uint64
 }
@@ -117,7 +121,8 @@
 	n.lastTick = now
 	n.troubled = never
 	n.repaired = never
-	n.mismatched = never
+	n.mismatched = now
+	n.gained = true
 	if n.Rand == nil {
 		n.Rand = rand.New(rand.NewPCG(n.Incarnation, uint64(len(n.Self.Name))))
 	}
@@ -125,7 +130,7 @@
 	n.index.byZone = make(map[string]*zoneIndex)
 	n.zones = make(map[string]*zoneView)
 	for _, source := range n.Feeds {
-		n.feeds = append(n.feeds, newFeed(source.Prefix))
+		n.feeds = append(n.feeds, newFeed(source))
 	}
 	n.adopt(Record{
 		Host:        n.Self,
--- /dev/null
+++ b/fleet/peer/peer_test.go
@@ -0,0 +1,193 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/fleet/peer"
+	"trefoilline.example/trefoilline/internal/standin/store"
+	"trefoilline.example/trefoilline/platform"
+)
+
+// served is a node behind a server on loopback.
+type served struct {
+	node     *fleet.Node
+	exchange *peer.Exchange
+	wire     *atomic.Int64
+}
+
+// serve starts a host in a zone, known to the list.
+func serve(t testing.TB, memory *store.Memory, name, zone string) served {
+	exchange, wire := &peer.Exchange{}, &atomic.Int64{}
+	server := httptest.NewUnstartedServer(exchange)
+	server.Listener = countingListener{
+		Listener: server.Listener,
+		bytes:    wire,
+	}
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	exchange.Node = &fleet.Node{
+		Self: fleet.Host{
+			Name:    name,
+			Region:  "accra",
+			Zone:    zone,
+			Address: address,
+		},
+		Incarnation: uint64(time.Now().UnixMilli()),
+		Feeds: []fleet.Feed{
+			{
+				Prefix: "table/",
+			},
+		},
+		Settings: fleet.Settings{
+			Interval: 20 * time.Millisecond,
+		},
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	memory.Register(platform.Machine{
+		Name:    name,
+		Kind:    platform.EntryHost,
+		Region:  "accra",
+		Zone:    zone,
+		Address: address,
+	})
+	return served{
+		node:     exchange.Node,
+		exchange: exchange,
+		wire:     wire,
+	}
+}
+
+func TestHostsFindEachOtherOverHTTP(t *testing.T) {
+	memory := &store.Memory{}
+	_, err := memory.Put(t.Context(), "table/head", []byte("one"), nil)
+	require.NoError(t, err)
+	var hosts []served
+	for i := range 5 {
+		hosts = append(hosts, serve(t, memory, fmt.Sprintf("host-%d", i), "accra-a"))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for i, h := range hosts {
+		go h.exchange.Run(ctx)
+		go (&fleet.Lister{
+			Node:      h.node,
+			Directory: memory,
+		}).Run(ctx)
+		if i == 0 {
+			// The others learn the feed from this host alone.
+			go (&fleet.Reader{
+				Node:  h.node,
+				Store: memory,
+				Feed:  h.node.Feeds[0],
+			}).Run(ctx)
+		}
+	}
+	for _, h := range hosts {
+		require.Eventually(t, func() bool {
+			return len(h.node.Live()) == len(hosts) && h.node.Version("table/") == 1
+		}, 20*time.Second, 10*time.Millisecond, h.node.Self.Name)
+	}
+}
+
+func TestMalformedMessagesAreRefused(t *testing.T) {
+	h := serve(t, &store.Memory{}, "host-0", "accra-a")
+	for _, body := range []string{
+		"{",
+		`{"kind":"unheard-of","message":{}}`,
+		`{"kind":"poll","message":7}`,
+	} {
+		response, err := http.Post("http://"+h.node.Self.Address.String()+peer.Path, "", bytes.NewReader([]byte(body)))
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusBadRequest, response.StatusCode, body)
+	}
+}
+
+// BenchmarkExchange gives the time of one poll and its answer at both ends
+// together, and the bytes that HTTP adds to each message.
+func BenchmarkExchange(b *testing.B) {
+	memory := &store.Memory{}
+	one, other := serve(b, memory, "host-1", "accra-a"), serve(b, memory, "host-2", "accra-a")
+	machines, err := memory.Machines(b.Context())
+	require.NoError(b, err)
+	one.node.SetListed(machines)
+	probe := &probe{
+		base: http.DefaultTransport.(*http.Transport).Clone(),
+		done: make(chan struct{}),
+	}
+	probe.base.DisableCompression = true
+	one.exchange.HTTP = &http.Client{
+		Transport: probe,
+	}
+	poll := one.node.Tick()
+	for b.Loop() {
+		one.exchange.Send(b.Context(), poll)
+		<-probe.done
+	}
+	added := float64(other.wire.Load() - probe.bodies.Load())
+	b.ReportMetric(added/float64(b.N)/2, "http-bytes/message")
+}
+
+// probe counts the bytes of bodies and tells when an exchange ended.
+type probe struct {
+	base   *http.Transport
+	bodies atomic.Int64
+	done   chan struct{}
+}
+
+func (p *probe) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := p.base.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	p.bodies.Add(request.ContentLength + int64(len(body)))
+	p.done <- struct{}{}
+	return response, err
+}
+
+// countingListener counts the bytes of all its connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{
+		Conn:  conn,
+		bytes: l.bytes,
+	}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	read, err := c.Conn.Read(p)
+	c.bytes.Add(int64(read))
+	return read, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	written, err := c.Conn.Write(p)
+	c.bytes.Add(int64(written))
+	return written, err
+}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -10,9 +10,11 @@
 
 // Times of a reader's calls.
 const (
-	// readWait is how long a watch of a healthy store waits for changes. It
+	// confirmWait is how long a watch of a confirmed feed waits for changes. It
 	// bounds the age of what a reader knows.
-	readWait = 500 * time.Millisecond
+	confirmWait = 500 * time.Millisecond
+	// changeWait is how long a watch of another feed waits.
+	changeWait = 4 * time.Second
 	// readTimeout is how long the store may take on top of that.
 	readTimeout = 600 * time.Millisecond
 	// readPause lies between a call that failed and the next.
@@ -28,14 +30,14 @@
 
 // Run calls until the context ends.
 func (r *Reader) Run(ctx context.Context) {
-	wait := readWait
+	wait := r.Feed.wait()
 	for ctx.Err() == nil {
 		if !r.Node.ShouldRead(r.Feed.Prefix) {
 			pause(ctx, r.Node.Interval())
 			continue
 		}
 		if r.read(ctx, wait) {
-			wait = readWait
+			wait = r.Feed.wait()
 			continue
 		}
 		// The next call only asks whether the store is back.
@@ -44,6 +46,14 @@
 	}
 }
 
+// wait is how long a watch of the feed waits for changes.
+func (f Feed) wait() time.Duration {
+	if f.Confirmed {
+		return confirmWait
+	}
+	return changeWait
+}
+
 // read makes one call and tells the node how it went.
 func (r *Reader) read(ctx context.Context, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
--- /dev/null
+++ b/fleet/reader_test.go
@@ -0,0 +1,181 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/internal/standin/store"
+	"trefoilline.example/trefoilline/platform"
+)
+
+// lone starts a node with its reader and lister on a link to the memory.
+func lone(ctx context.Context, memory *store.Memory) (*fleet.Node, *store.Link) {
+	link := &store.Link{
+		Memory: memory,
+	}
+	node := &fleet.Node{
+		Self: fleet.Host{
+			Name:   "host-1",
+			Region: "accra",
+			Zone:   "accra-a",
+		},
+		Incarnation: uint64(time.Now().UnixMilli()),
+		Feeds: []fleet.Feed{
+			{
+				Prefix:    keysFeed,
+				Head:      keysHead,
+				Confirmed: true,
+			},
+		},
+	}
+	reader := &fleet.Reader{
+		Node:  node,
+		Store: link,
+		Feed:  node.Feeds[0],
+	}
+	lister := &fleet.Lister{
+		Node:      node,
+		Directory: link,
+	}
+	go reader.Run(ctx)
+	go lister.Run(ctx)
+	return node, link
+}
+
+func TestReaderConfirmsOnlyWhatTheStoreAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		memory := &store.Memory{}
+		memory.Register(platform.Machine{
+			Name: "host-2",
+			Kind: platform.EntryHost,
+			Zone: "accra-b",
+		})
+		node, link := lone(ctx, memory)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, node.Confirmation(keysFeed))
+		require.Len(t, node.Members(), 2)
+
+		memory.SetFaults(store.Faults{
+			StaleWatch: true,
+		})
+		version, err := memory.Put(ctx, keysFeed+"a", []byte("withdrawn"), nil)
+		require.NoError(t, err)
+		_, err = memory.Put(ctx, keysHead, nil, nil)
+		require.NoError(t, err)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, version, node.Version(keysFeed), "a watch that lags must not hide a change")
+
+		link.SetCut(true)
+		time.Sleep(bound - time.Second)
+		require.NoError(t, node.Confirmation(keysFeed))
+		time.Sleep(2 * time.Second)
+		require.ErrorAs(t, node.Confirmation(keysFeed), new(*fleet.UnconfirmedError))
+		link.SetCut(false)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, node.Confirmation(keysFeed))
+	})
+}
+
+func TestConfirmationOfAnUnknownFeed(t *testing.T) {
+	node := &fleet.Node{
+		Incarnation: 1,
+	}
+	require.ErrorAs(t, node.Confirmation("routes/"), new(*fleet.UnknownFeedError))
+	require.Zero(t, node.Version("routes/"))
+}
+
+func TestNoticesAddUpOverHosts(t *testing.T) {
+	w := settled(t, 8, 12, 3, 3)
+	w.hosts[0].node.ReportLost("print")
+	w.hosts[5].node.ReportLost("print")
+	w.hosts[5].node.ReportLost("print")
+	w.run(10 * time.Second)
+	for _, h := range w.hosts {
+		require.Equal(t, 3, h.node.Lost("print"), h.Name)
+		require.Zero(t, h.node.Lost("other"))
+	}
+	w.run(11 * time.Minute)
+	require.Zero(t, w.hosts[3].node.Lost("print"))
+}
+
+func FuzzDecode(f *testing.F) {
+	seeds := []fleet.Message{
+		&fleet.Poll{
+			Status: fleet.Status{
+				Roll: &fleet.Roll{
+					Ages: "0z",
+				},
+				Zones: &fleet.ZoneAges{
+					Heard: "zz",
+				},
+			},
+		},
+		&fleet.FeedReply{
+			Feed: keysFeed,
+		},
+	}
+	for _, seed := range seeds {
+		body, err := fleet.Encode(seed)
+		require.NoError(f, err)
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		message, err := fleet.Decode(body)
+		if err != nil {
+			return
+		}
+		node := &fleet.Node{
+			Incarnation: 1,
+			Feeds: []fleet.Feed{
+				{
+					Prefix: keysFeed,
+				},
+			},
+		}
+		node.Tick()
+		for _, envelope := range node.Receive(message) {
+			_, err := fleet.Encode(envelope.Message)
+			require.NoError(t, err)
+		}
+		node.Tick()
+	})
+}
+
+func ExampleNode() {
+	node := &fleet.Node{
+		Self: fleet.Host{
+			Name: "host-1",
+			Zone: "accra-a",
+		},
+		Incarnation: 1,
+		Feeds: []fleet.Feed{
+			{
+				Prefix:    "keys/",
+				Confirmed: true,
+			},
+		},
+	}
+	fmt.Println(node.Confirmation("keys/"))
+	began, _ := node.ReadBegins("keys/")
+	node.ReadSucceeded("keys/", began, platform.Changes{
+		Objects: []platform.Object{
+			{
+				Key:     "keys/a",
+				Version: 4,
+			},
+		},
+		Next: 4,
+	})
+	fmt.Println(node.Confirmation("keys/"), node.Version("keys/"))
+	// Output:
+	// the newest known view of "keys/" is not held here yet
+	// <nil> 4
+}
--- a/fleet/receive.go
+++ b/fleet/receive.go
@@ -20,7 +20,7 @@
 	case *RecordsRequest:
 		return n.receiveRecordsRequest(message, now)
 	case *Records:
-		n.merge(message.Records, now)
+		n.gained = n.merge(message.Records, now)
 	case *FeedRequest:
 		return n.receiveFeedRequest(message, now)
 	case *FeedReply:
@@ -112,25 +112,33 @@
 	// settleTime is how long members' hashes may differ before a repair, since
 	// rumors mostly make them equal by themselves.
 	settleTime = 8 * time.Second
-	// startTime is how long after its start a host repairs without that wait.
+	// settledMatches is how many hosts in a row must agree with this one before
+	// the next difference counts as a new one.
+	settledMatches = 8
+	// startTime is how long after its start a host repairs without that wait, as
+	// long as repairs bring news.
 	startTime = 30 * time.Second
 )
 
 // repair asks a member for its records if the hashes have differed for a
 // while, or at once if this host has just started.
-func (n *Node) repair(m *member, hash uint64, now time.Duration) (Envelope, bool) {
+func (n *Node) repair(m *member, hash uint32, now time.Duration) (Envelope, bool) {
 	x := n.indexed()
-	if hash == x.total {
-		n.mismatched = never
+	if hash == x.brief() {
+		n.matches++
 		return Envelope{}, false
 	}
-	if n.mismatched == never {
+	// One host that agrees proves nothing, as both may lack the same records.
+	if n.matches >= settledMatches {
 		n.mismatched = now
 	}
-	if now-n.repaired < n.repairInterval(now) {
-		return Envelope{}, false
+	n.matches = 0
+	interval, settle := n.settings.RepairInterval, settleTime
+	if n.gained && now-n.started <= startTime {
+		// A host that has just started still learns much from each repair.
+		interval, settle = n.settings.Interval, 0
 	}
-	if now-n.started > startTime && now-n.mismatched < settleTime {
+	if now-n.repaired < interval || now-n.mismatched < settle {
 		return Envelope{}, false
 	}
 	n.repaired = now
@@ -143,14 +151,6 @@
 	}, true
 }
 
-// repairInterval is the least time between two repairs.
-func (n *Node) repairInterval(now time.Duration) time.Duration {
-	if now-n.started <= startTime {
-		return n.settings.Interval
-	}
-	return n.settings.RepairInterval
-}
-
 func (n *Node) receiveRecordsRequest(request *RecordsRequest, now time.Duration) []Envelope {
 	m := n.members[request.From]
 	if m == nil {
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -91,15 +91,18 @@
 	n.replace(m, record, now)
 }
 
-// merge takes in records from another host.
-func (n *Node) merge(records []Record, now time.Duration) {
+// merge takes in records from another host and tells whether any was news.
+func (n *Node) merge(records []Record, now time.Duration) (news bool) {
 	for _, record := range records {
 		if record.Name == n.Self.Name {
 			n.refute(record, now)
 			continue
 		}
-		n.adopt(record, now)
+		if n.adopt(record, now) {
+			news = true
+		}
 	}
+	return news
 }
 
 // refute answers a claim about this host that isn't its own by a later
@@ -118,8 +121,9 @@
 	n.adopt(own, now)
 }
 
-// adopt takes a record in if it supersedes the one held.
-func (n *Node) adopt(record Record, now time.Duration) {
+// adopt takes a record in if it supersedes the one held, and tells whether it
+// did.
+func (n *Node) adopt(record Record, now time.Duration) bool {
 	m := n.members[record.Name]
 	if m == nil {
 		m = &member{
@@ -132,11 +136,13 @@
 		n.members[record.Name] = m
 		n.index.insert(m)
 		n.noteChange(m)
-		return
+		return true
 	}
-	if record.Supersedes(m.Record) {
-		n.replace(m, record, now)
+	if !record.Supersedes(m.Record) {
+		return false
 	}
+	n.replace(m, record, now)
+	return true
 }
 
 func (n *Node) replace(m *member, record Record, now time.Duration) {
--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -2,39 +2,66 @@
 
 import (
 	"strconv"
-	"strings"
 	"time"
 )
 
+// Ages is a list of ages in steps of [ageStep], each in [ageDigits] digits in
+// base 36, rounded up; the highest value stands for "never".
+type Ages string
+
 // Roll tells for each host of the sender's zone how long ago it was known to
 // answer and not to reach the store.
 type Roll struct {
 	// Roster identifies the hosts that the ages are for, in order of name.
 	Roster uint32 `json:"roster"`
-	// Ages has [rollDigits] digits in base 36 for each host, in steps of
-	// [rollStep]; the highest value stands for "never".
-	Ages string `json:"ages"`
+	Ages   Ages   `json:"ages"`
 }
 
 // ZoneAges tells for each zone, in order of name, how long ago it was heard of
 // and when all its hosts last were known to answer and not to reach the store.
-// Ages are in milliseconds, -1 for never.
 type ZoneAges struct {
 	// Zones and Names identify the zones and all hosts' names.
-	Zones  uint32  `json:"zones"`
-	Names  uint32  `json:"names"`
-	Heard  []int64 `json:"heard"`
-	CutOff []int64 `json:"cut-off"`
+	Zones uint32 `json:"zones"`
+	Names uint32 `json:"names"`
+	Heard Ages   `json:"heard"`
+	// CutOff is empty while no zone is known to be cut off.
+	CutOff Ages `json:"cut-off,omitempty"`
 }
 
 const (
-	rollDigits = 2
-	rollBase   = 36
-	rollStep   = 20 * time.Millisecond
-	// rollNever is the highest number of steps that the digits hold.
-	rollNever = rollBase*rollBase - 1
+	ageDigits = 2
+	ageBase   = 36
+	ageStep   = 20 * time.Millisecond
+	// ageNever is the highest number of steps that the digits hold.
+	ageNever = ageBase*ageBase - 1
 )
 
+// add appends the age of a time.
+func (a Ages) add(at, now time.Duration) Ages {
+	steps := int64(ageNever)
+	if !isNever(at) {
+		steps = min(int64((now-at+ageStep-1)/ageStep), ageNever)
+	}
+	text := strconv.FormatInt(steps, ageBase)
+	if len(text) < ageDigits {
+		text = "0" + text
+	}
+	return a + Ages(text)
+}
+
+// count returns how many ages there are.
+func (a Ages) count() int { return len(a) / ageDigits }
+
+// since returns the time that the age at an index stands for, counted from a
+// base.
+func (a Ages) since(base time.Duration, i int) time.Duration {
+	steps, err := strconv.ParseInt(string(a[ageDigits*i:ageDigits*(i+1)]), ageBase, 64)
+	if err != nil || steps < 0 || steps >= ageNever {
+		return never
+	}
+	return base - time.Duration(steps)*ageStep
+}
+
 func (n *Node) zone(name string) *zoneView {
 	zone := n.zones[name]
 	if zone == nil {
@@ -53,6 +80,9 @@
 func (n *Node) ownCutOff(now time.Duration) time.Duration {
 	at := now
 	for _, f := range n.feeds {
+		if !f.bounded {
+			continue
+		}
 		reader, failing := n.isReader(), f.failed > f.answered
 		if reader && failing {
 			at = min(at, f.failed)
@@ -81,45 +111,28 @@
 func (n *Node) roll(now time.Duration) *Roll {
 	n.self().cutOff = n.ownCutOff(now)
 	x := n.indexed()
-	var ages strings.Builder
+	var ages Ages
 	for _, m := range x.zoneOf(n.Self.Zone).roster {
-		writeSteps(&ages, stepsOf(m.cutOff, now))
+		ages = ages.add(m.cutOff, now)
 	}
 	return &Roll{
 		Roster: x.zoneOf(n.Self.Zone).rosterHash,
-		Ages:   ages.String(),
+		Ages:   ages,
 	}
 }
 
-func stepsOf(at, now time.Duration) int64 {
-	if isNever(at) {
-		return rollNever
-	}
-	return min(int64((now-at+rollStep-1)/rollStep), rollNever)
-}
-
-func writeSteps(to *strings.Builder, steps int64) {
-	text := strconv.FormatInt(steps, rollBase)
-	if len(text) < rollDigits {
-		to.WriteByte('0')
-	}
-	to.WriteString(text)
-}
-
 // mergeRoll takes in what a member knows of the zone's hosts, as ages before
 // the base.
 func (n *Node) mergeRoll(roll *Roll, base time.Duration) {
 	x := n.indexed()
 	members := x.zoneOf(n.Self.Zone).roster
-	if roll == nil || roll.Roster != x.zoneOf(n.Self.Zone).rosterHash || len(roll.Ages) != rollDigits*len(members) {
+	if roll == nil || roll.Roster != x.zoneOf(n.Self.Zone).rosterHash || roll.Ages.count() != len(members) {
 		return
 	}
 	for i, m := range members {
-		steps, err := strconv.ParseInt(roll.Ages[rollDigits*i:rollDigits*(i+1)], rollBase, 64)
-		if err != nil || steps >= rollNever || m.Name == n.Self.Name {
-			continue
+		if m.Name != n.Self.Name {
+			m.cutOff = max(m.cutOff, roll.Ages.since(base, i))
 		}
-		m.cutOff = max(m.cutOff, base-time.Duration(steps)*rollStep)
 	}
 }
 
@@ -131,10 +144,15 @@
 		Zones: x.zonesHash,
 		Names: x.namesHash,
 	}
+	known := false
 	for _, name := range x.zones {
 		zone := n.zone(name)
-		ages.Heard = append(ages.Heard, ageOf(zone.heard, now))
-		ages.CutOff = append(ages.CutOff, ageOf(zone.cutOff, now))
+		ages.Heard = ages.Heard.add(zone.heard, now)
+		ages.CutOff = ages.CutOff.add(zone.cutOff, now)
+		known = known || !isNever(zone.cutOff)
+	}
+	if !known {
+		ages.CutOff = ""
 	}
 	return ages
 }
@@ -144,14 +162,15 @@
 // belongs to the fleet.
 func (n *Node) mergeZones(ages *ZoneAges, base time.Duration) {
 	x := n.indexed()
-	if ages == nil || ages.Zones != x.zonesHash || len(ages.Heard) != len(x.zones) || len(ages.CutOff) != len(x.zones) {
+	if ages == nil || ages.Zones != x.zonesHash || ages.Heard.count() != len(x.zones) {
 		return
 	}
+	agreed := ages.Names == x.namesHash && ages.CutOff.count() == len(x.zones)
 	for i, name := range x.zones {
 		zone := n.zone(name)
-		zone.heard = max(zone.heard, since(base, ages.Heard[i]))
-		if ages.Names == x.namesHash {
-			zone.cutOff = max(zone.cutOff, since(base, ages.CutOff[i]))
+		zone.heard = max(zone.heard, ages.Heard.since(base, i))
+		if agreed {
+			zone.cutOff = max(zone.cutOff, ages.CutOff.since(base, i))
 		}
 	}
 }
--- a/fleet/settings.go
+++ b/fleet/settings.go
@@ -32,8 +32,8 @@
 // The defaults of [Settings].
 const (
 	defaultInterval       = 500 * time.Millisecond
-	defaultReaders        = 3
-	defaultFanOut         = 4
+	defaultReaders        = 4
+	defaultFanOut         = 3
 	defaultReplyTimeout   = time.Second
 	defaultSuspectTimeout = 5 * time.Second
 	defaultZoneTimeout    = 8 * time.Second
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -10,6 +10,10 @@
 // after a failed call.
 const retryTime = 10 * time.Second
 
+// unboundedAge is the age at which a host that isn't a reader turns to the
+// store for a feed that needs no confirmation.
+const unboundedAge = 3 * changeWait
+
 // ShouldRead tells whether this host should call the store for the feed now:
 // readers always, others when they have just started or their view is about to
 // run out of confirmation.
@@ -24,10 +28,11 @@
 	if n.isReader() || f.tried == never {
 		return true
 	}
-	if now-f.confirmed <= n.settings.ConfirmBound*3/5 || now < f.retry {
-		return false
+	limit := n.settings.ConfirmBound * 3 / 5
+	if !f.bounded {
+		limit = unboundedAge
 	}
-	return true
+	return now-f.confirmed > limit && now >= f.retry
 }
 
 // ReadBegins notes that a call for the feed is about to be made and returns
--- a/fleet/tick.go
+++ b/fleet/tick.go
@@ -44,7 +44,7 @@
 	x := n.indexed()
 	for _, zone := range x.zones {
 		if zone == n.Self.Zone {
-			targets = append(targets, x.zoneOf(zone).roster...)
+			targets = append(targets, n.unheard()...)
 			continue
 		}
 		if target := n.envoy(zone); target != nil {
@@ -54,6 +54,17 @@
 	return n.polls(targets, now)
 }
 
+// unheard returns the hosts of the zone that have not answered yet.
+func (n *Node) unheard() []*member {
+	var unheard []*member
+	for _, m := range n.indexed().zoneOf(n.Self.Zone).roster {
+		if isNever(m.heard) {
+			unheard = append(unheard, m)
+		}
+	}
+	return unheard
+}
+
 func (n *Node) pollSome(now time.Duration) []Envelope {
 	var targets []*member
 	if n.ticks%n.pollEvery(now) == 0 {
@@ -108,7 +119,7 @@
 // goes up the tree, what is known of whole zones goes down and across.
 func (n *Node) statusFor(m *member, asking bool, now time.Duration) Status {
 	status := Status{
-		Members: n.indexed().total,
+		Members: n.indexed().brief(),
 		Feeds:   n.feedStatuses(now),
 		Records: n.recordsFor(m, now),
 		Notices: n.recentNotices(now),
@@ -118,7 +129,9 @@
 	if readers || asking && slices.Contains(n.parents(), m) {
 		status.Roll = n.roll(now)
 	}
-	if readers || !near || !asking {
+	// Between zones only answers carry ages: two hosts that rarely speak echo
+	// stamps that are too old for a poll to say anything.
+	if readers || !asking {
 		status.Zones = n.zoneAges(now)
 	}
 	return status
@@ -147,6 +160,9 @@
 		return true
 	}
 	for _, f := range n.feeds {
+		if !f.bounded {
+			continue
+		}
 		if now-f.confirmed > n.settings.ConfirmBound*3/5 || n.isCut(f) {
 			n.troubled = now
 			return true
--- a/fleet/tree.go
+++ b/fleet/tree.go
@@ -18,15 +18,18 @@
 	return rank >= 0 && rank < n.settings.Readers
 }
 
-// parents returns the hosts to poll for what is new: for a reader the zone's
-// other readers, for another host its parent in the tree.
+// parents returns the hosts to poll for what is new: for a reader the next of
+// the zone's readers, for another host its parent in the tree.
 func (n *Node) parents() []*member {
 	ranked, rank := n.indexed().zoneOf(n.Self.Zone).ranked, n.rank()
 	if rank < 0 || len(ranked) < 2 {
 		return nil
 	}
 	if rank < n.settings.Readers {
-		return n.otherReaders()
+		readers := min(len(ranked), n.settings.Readers)
+		return []*member{
+			ranked[(rank+1)%readers],
+		}
 	}
 	parent := ranked[(rank-n.settings.Readers)/n.settings.FanOut]
 	if parent.misses == 0 {
@@ -68,7 +71,7 @@
 			return child
 		}
 	}
-	if n.ticks%n.pollEvery(now) != 0 {
+	if n.ticks%calmTicks != 0 {
 		return nil
 	}
 	roster := n.indexed().zoneOf(n.Self.Zone).roster
