Give immutable objects from host to host, and prove how a new host starts

What a new host may serve, and how an answer that was delayed counts, had no test of its own.

Three tests drive one node by hand: it takes the highest version among its peers before it is ready, ages count from the question, an echo of an earlier incarnation counts for nothing.

--- a/fleet/peer/errors.go
+++ b/fleet/peer/errors.go
@@ -32,3 +32,13 @@
 func (e *BusyError) Error() string {
 	return fmt.Sprintf("message to %s dropped: too many are in flight", e.Host)
 }
+
+// WrongObjectError reports a peer that answered with another object.
+type WrongObjectError struct {
+	Asked string
+	Got   string
+}
+
+func (e *WrongObjectError) Error() string {
+	return fmt.Sprintf("asked for object %q, got %q", e.Asked, e.Got)
+}
--- a/fleet/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -1,5 +1,6 @@
 /*
-Package peer carries the messages of a [fleet.Node] over HTTP.
+Package peer carries the messages of a [fleet.Node] over HTTP, and immutable
+objects between hosts.
 
 A message is the body of a POST to [Path]; the messages that answer it come
 back in the body of the response, one after the other. Headers that nobody
@@ -12,6 +13,15 @@
 	}
 	mux.Handle(peer.Path, exchange)
 	go exchange.Run(ctx)
+
+Immutable objects of the store come from peers where they can:
+
+	objects := &peer.Objects{
+		Store:     store,
+		Node:      node,
+		Immutable: func(key string) bool { return strings.HasPrefix(key, "table/part/") },
+	}
+	mux.Handle(peer.ObjectsPath, objects)
 */
 package peer
 
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,13 +26,20 @@
 type served struct {
 	node     *fleet.Node
 	exchange *peer.Exchange
+	objects  *peer.Objects
 	wire     *atomic.Int64
 }
 
 // serve starts a host in a zone, known to the list.
 func serve(t testing.TB, memory *store.Memory, name, zone string) served {
-	exchange, wire := &peer.Exchange{}, &atomic.Int64{}
-	server := httptest.NewUnstartedServer(exchange)
+	exchange, wire, mux := &peer.Exchange{}, &atomic.Int64{}, http.NewServeMux()
+	objects := &peer.Objects{
+		Store:     memory,
+		Immutable: func(key string) bool { return strings.HasPrefix(key, "table/part/") },
+	}
+	mux.Handle(peer.Path, exchange)
+	mux.Handle(peer.ObjectsPath, objects)
+	server := httptest.NewUnstartedServer(mux)
 	server.Listener = countingListener{
 		Listener: server.Listener,
 		bytes:    wire,
@@ -52,8 +60,10 @@
 		},
 		Settings: fleet.Settings{
 			Interval: 20 * time.Millisecond,
+			Readers:  1,
 		},
 	}
+	objects.Node = exchange.Node
 	server.Start()
 	t.Cleanup(server.Close)
 	memory.Register(platform.Machine{
@@ -66,6 +76,7 @@
 	return served{
 		node:     exchange.Node,
 		exchange: exchange,
+		objects:  objects,
 		wire:     wire,
 	}
 }
@@ -102,6 +113,39 @@
 	}
 }
 
+func TestObjectsComeFromPeersAndTheStoreIsReadOnce(t *testing.T) {
+	const part = "table/part/17"
+	memory := &store.Memory{}
+	_, err := memory.Put(t.Context(), part, []byte("rows"), nil)
+	require.NoError(t, err)
+	var hosts []served
+	for i := range 4 {
+		hosts = append(hosts, serve(t, memory, fmt.Sprintf("host-%d", i), "accra-a"))
+	}
+	machines, err := memory.Machines(t.Context())
+	require.NoError(t, err)
+	for _, h := range hosts {
+		h.node.SetListed(machines)
+	}
+	for _, h := range hosts {
+		for _, envelope := range h.node.Tick() {
+			for _, other := range hosts {
+				if other.node.Self == envelope.To {
+					other.node.Receive(envelope.Message)
+				}
+			}
+		}
+	}
+	for _, h := range hosts {
+		object, err := h.objects.Get(t.Context(), part)
+		require.NoError(t, err)
+		require.Equal(t, "rows", string(object.Value))
+	}
+	require.Equal(t, uint64(1), memory.Calls().Get)
+	_, err = hosts[0].objects.Get(t.Context(), "table/head")
+	require.ErrorAs(t, err, new(*platform.NotFoundError))
+}
+
 func TestMalformedMessagesAreRefused(t *testing.T) {
 	h := serve(t, &store.Memory{}, "host-0", "accra-a")
 	for _, body := range []string{
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -57,6 +57,22 @@
 	return n.isReader()
 }
 
+// Sources returns the hosts that this one learns news from, none for a reader,
+// which learns from the store.
+func (n *Node) Sources() []Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.now()
+	if n.isReader() {
+		return nil
+	}
+	var hosts []Host
+	for _, m := range n.parents() {
+		hosts = append(hosts, m.Host)
+	}
+	return hosts
+}
+
 // ConfirmedAge returns how long ago the view of the feed was confirmed,
 // directly or through a peer; ok is false if it never was.
 func (n *Node) ConfirmedAge(name string) (age time.Duration, ok bool) {
--- /dev/null
+++ b/fleet/start_test.go
@@ -0,0 +1,122 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/platform"
+)
+
+// starting is a host that has just started, with the store down and two peers.
+type starting struct {
+	node *fleet.Node
+	now  time.Time
+	// stamps are those of the polls to each peer.
+	stamps map[string]int64
+}
+
+func newStarting() *starting {
+	s := &starting{
+		now:    time.Date(2026, time.January, 1, 0, 0, 0, 0, time.UTC),
+		stamps: make(map[string]int64),
+	}
+	s.node = &fleet.Node{
+		Self: fleet.Host{
+			Name: "new",
+			Zone: "accra-a",
+		},
+		Incarnation: 1000,
+		Feeds: []fleet.Feed{
+			{
+				Prefix:    keysFeed,
+				Confirmed: true,
+			},
+		},
+		Clock: func() time.Time { return s.now },
+	}
+	var machines []platform.Machine
+	for _, name := range []string{
+		"behind",
+		"ahead",
+	} {
+		machines = append(machines, platform.Machine{
+			Name: name,
+			Kind: platform.EntryHost,
+			Zone: "accra-a",
+		})
+	}
+	s.node.SetListed(machines)
+	for _, envelope := range s.node.Tick() {
+		s.stamps[envelope.To.Name] = envelope.Message.(*fleet.Poll).Stamp
+	}
+	return s
+}
+
+// answer gives the node a peer's status and then its view.
+func (s *starting) answer(peer string, version platform.Version) {
+	header := fleet.Header{
+		From:  peer,
+		Stamp: 1,
+		Echo:  s.stamps[peer],
+	}
+	status := fleet.FeedStatus{
+		Version: version,
+	}
+	s.node.Receive(&fleet.PollReply{
+		Header: header,
+		Status: fleet.Status{
+			Feeds: []fleet.FeedStatus{
+				status,
+			},
+		},
+	})
+	s.node.Receive(&fleet.FeedReply{
+		Header: header,
+		Feed:   keysFeed,
+		Status: status,
+		Objects: []platform.Object{
+			{
+				Key:     keysFeed + "a",
+				Version: version,
+			},
+		},
+	})
+}
+
+func TestNewHostTakesTheHighestAmongItsPeers(t *testing.T) {
+	s := newStarting()
+	s.answer("behind", 3)
+	require.False(t, s.node.IsReady(keysFeed), "others have not answered yet")
+	require.ErrorAs(t, s.node.Confirmation(keysFeed), new(*fleet.NoViewError))
+	s.answer("ahead", 7)
+	s.now = s.now.Add(2 * time.Second)
+	require.True(t, s.node.IsReady(keysFeed))
+	require.Equal(t, platform.Version(7), s.node.Version(keysFeed))
+	s.answer("behind", 3)
+	require.Equal(t, platform.Version(7), s.node.Version(keysFeed))
+	require.Zero(t, s.node.Violations())
+}
+
+func TestAgeOfADelayedAnswerCountsFromTheQuestion(t *testing.T) {
+	s := newStarting()
+	s.now = s.now.Add(4 * time.Second)
+	s.answer("ahead", 7)
+	age, ok := s.node.ConfirmedAge(keysFeed)
+	require.True(t, ok)
+	require.Equal(t, 4*time.Second, age)
+	require.NoError(t, s.node.Confirmation(keysFeed))
+	s.now = s.now.Add(2 * time.Second)
+	s.answer("ahead", 7)
+	require.ErrorAs(t, s.node.Confirmation(keysFeed), new(*fleet.UnconfirmedError), "the same answer again confirms nothing new")
+}
+
+func TestEchoOfAnEarlierIncarnationCountsForNothing(t *testing.T) {
+	s := newStarting()
+	s.stamps["ahead"] = 999
+	s.answer("ahead", 7)
+	_, ok := s.node.ConfirmedAge(keysFeed)
+	require.False(t, ok)
+}
