--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,152 @@
+/*
+Package daemon is trefoillined: it wires the packages of an entry host together
+and runs them until it is told to stop.
+
+# Usage
+
+	if err := daemon.NewCommand().Execute(); err != nil {
+		os.Exit(1)
+	}
+*/
+package daemon
+
+import (
+	"sync/atomic"
+	"time"
+
+	"trefoilline.example/trefoilline/admission"
+	"trefoilline.example/trefoilline/backend"
+	"trefoilline.example/trefoilline/entry"
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
+	"trefoilline.example/trefoilline/suspect"
+	"trefoilline.example/trefoilline/table"
+	"trefoilline.example/trefoilline/ticket"
+)
+
+// daemon is one run of an entry host.
+type daemon struct {
+	settings    Settings
+	incarnation uint64
+	log         observe.Log
+	measures    *observe.Measures
+
+	store     platform.Store
+	directory platform.Directory
+
+	reader table.Reader
+	tables table.Follower
+	keys   keys
+
+	pool     *backend.Pool
+	router   *steer.Router
+	plan     atomic.Pointer[steer.Plan]
+	limits   *share.Holder
+	keeper   *share.Keeper
+	client   *exchange.Client
+	desk     *admission.Desk
+	register *ticket.Register
+	suspects *suspect.List
+	handler  *entry.Handler
+	node     *fleet.Node
+	members  atomic.Pointer[[]fleet.Record]
+	reports  reports
+	peers    peers
+
+	machines atomic.Pointer[machineList]
+	blocks   atomic.Pointer[steer.Blocks]
+	lookup   atomic.Pointer[steer.Lookup]
+	leaving  atomic.Bool
+}
+
+// newDaemon wires the parts; nothing runs yet.
+func newDaemon(settings Settings, log observe.Log) *daemon {
+	client := &platform.Client{
+		Base: settings.Store,
+	}
+	d := &daemon{
+		settings:    settings,
+		incarnation: uint64(time.Now().UnixMilli()),
+		log:         log,
+		measures:    &observe.Measures{},
+		store:       client,
+		directory:   client,
+	}
+	d.wireFleet()
+	d.wireLimits()
+	d.wireSteering()
+	d.wireAdmission()
+	d.wireHandler()
+	d.wireInvariants()
+	d.peers.host = settings.Host
+	d.peers.address = d.addressOf
+	d.peers.secret = settings.FleetSecret
+	d.peers.log = log
+	return d
+}
+
+func (d *daemon) wireLimits() {
+	d.limits = &share.Holder{
+		Host:        d.settings.Host,
+		Incarnation: d.incarnation,
+		Exclusive:   true,
+	}
+	d.keeper = &share.Keeper{
+		Holder: d.limits,
+		Store:  d.store,
+	}
+}
+
+func (d *daemon) wireSteering() {
+	d.pool = &backend.Pool{
+		Slots: &backend.Shared{
+			Holder: d.limits,
+		},
+	}
+	d.router = &steer.Router{
+		Region: d.settings.Region,
+		Limits: steer.Shared{
+			Holder: d.limits,
+		},
+	}
+}
+
+// wireAdmission sets up what lets a request run at most once.
+func (d *daemon) wireAdmission() {
+	d.client = &exchange.Client{}
+	d.register = &ticket.Register{
+		Host: d.settings.Listen,
+	}
+	d.desk = &admission.Desk{
+		Register: d.register,
+		Claims: &ticket.Claims{
+			Store: d.store,
+		},
+		Send: d.client.Send,
+	}
+	d.suspects = &suspect.List{
+		Share:   d.shareLoss,
+		Answers: d.answers,
+	}
+}
+
+func (d *daemon) wireHandler() {
+	d.handler = &entry.Handler{
+		Host:     d.settings.Host,
+		Region:   d.settings.Region,
+		Keys:     d,
+		Pool:     d.pool,
+		Router:   d.router,
+		Client:   d.client,
+		Limits:   d.limits,
+		Desk:     d.desk,
+		Suspects: d.suspects,
+		Deadline: d.settings.RequestDeadline,
+		Log:      d.log,
+		Measures: d.measures,
+	}
+}
--- /dev/null
+++ b/internal/daemon/machines.go
@@ -0,0 +1,73 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/steer"
+)
+
+const (
+	// machinesPeriod is the least time between two reads of the platform's list.
+	machinesPeriod = time.Second
+	// machineReads is how many reads a second all hosts together may make.
+	machineReads = 300
+)
+
+// machineList is one reading of the platform's list.
+type machineList struct {
+	entries  []platform.Machine
+	backends []platform.Machine
+}
+
+// followMachines reads the platform's list until the context ends.
+func (d *daemon) followMachines(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := d.readMachines(ctx); err != nil {
+			d.log.Write(observe.MachinesUnreadable, zap.Error(err))
+		}
+		pause(ctx, d.machinesPause())
+	}
+}
+
+// machinesPause keeps the calls of all hosts together under machineReads a
+// second.
+func (d *daemon) machinesPause() time.Duration {
+	hosts := len(d.working())
+	return max(machinesPeriod, time.Duration(hosts)*time.Second/machineReads)
+}
+
+func (d *daemon) readMachines(ctx context.Context) error {
+	machines, err := d.directory.Machines(ctx)
+	if err != nil {
+		return err
+	}
+	list := &machineList{}
+	for _, m := range machines {
+		switch m.Kind {
+		case platform.EntryHost:
+			list.entries = append(list.entries, m)
+		case platform.BackendServer:
+			list.backends = append(list.backends, m)
+		}
+	}
+	d.machines.Store(list)
+	d.node.SetListed(machines)
+	d.pool.SetMachines(list.backends)
+	d.refreshLimits()
+	d.handler.Wake()
+	return nil
+}
+
+// refreshLookup rebuilds the look-up answers from what is known now.
+func (d *daemon) refreshLookup() {
+	blocks := d.blocks.Load()
+	if blocks == nil {
+		return
+	}
+	d.lookup.Store(steer.NewLookup(d.lookupHosts(), *blocks))
+}
