Read a feed that has a head as a confirmed one

**Cause** Two fields said the same: a feed needs a head exactly if hosts may only act on its view while it is confirmed, and a feed with a head that forgot the second field would have been read every 4 s against a bound of 5 s.

**Change** Feed.Confirmed is gone; Feed.Head makes a feed confirmed.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -41,7 +41,6 @@
 			{
 				Prefix: "keys/",
 				Head:      "keys-head",
-				Confirmed: true,
 			},
 		},
 		Rand: rand.New(rand.NewPCG(seed, 1)),
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -12,20 +12,18 @@
 type Feed struct {
 	// Prefix starts the keys of its objects, and names the feed.
 	Prefix string
-	// Head, if set, is a key outside the prefix that every change is followed
-	// by a write of, before the change counts as accepted. A watch confirms a
-	// view only up to the head's version, so one that lags confirms nothing.
-	// Without a head, watches are trusted.
+	// Head, if set, makes the feed a confirmed one, whose view is read often
+	// enough for [Node.Confirmation]. It is a key outside the prefix that every
+	// change is followed by a write of, before the change counts as accepted. A
+	// watch confirms a view only up to the head's version, so one that lags
+	// confirms nothing. Of a feed without a head only changes are waited for.
 	Head string
-	// Confirmed feeds are read often enough for [Node.Confirmation]. Of others
-	// only changes are waited for.
-	Confirmed bool
 }
 
 // feed is this host's view of the objects under a prefix.
 type feed struct {
 	name string
-	// bounded is set if the view may only be acted on while it is confirmed.
+	// bounded is set for a confirmed feed.
 	bounded bool
 	objects map[string]platform.Object
 	// version is the highest of any object; all changes up to it are held.
@@ -58,7 +56,7 @@
 func newFeed(source Feed) *feed {
 	return &feed{
 		name:      source.Prefix,
-		bounded:   source.Confirmed,
+		bounded:   source.Head != "",
 		objects:   make(map[string]platform.Object),
 		confirmed: never,
 		tried:     never,
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -48,7 +48,7 @@
 
 // wait is how long a watch of the feed waits for changes.
 func (f Feed) wait() time.Duration {
-	if f.Confirmed {
+	if f.Head != "" {
 		return confirmWait
 	}
 	return changeWait
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -28,9 +28,8 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 		Feeds: []fleet.Feed{
 			{
-				Prefix:    keysFeed,
-				Head:      keysHead,
-				Confirmed: true,
+				Prefix: keysFeed,
+				Head:   keysHead,
 			},
 		},
 	}
@@ -158,8 +157,8 @@
 		Incarnation: 1,
 		Feeds: []fleet.Feed{
 			{
-				Prefix:    "keys/",
-				Confirmed: true,
+				Prefix: "keys/",
+				Head:   "keys-head",
 			},
 		},
 	}
--- a/fleet/start_test.go
+++ b/fleet/start_test.go
@@ -31,8 +31,8 @@
 		Incarnation: 1000,
 		Feeds: []fleet.Feed{
 			{
-				Prefix:    keysFeed,
-				Confirmed: true,
+				Prefix: keysFeed,
+				Head:   keysHead,
 			},
 		},
 		Clock: func() time.Time { return s.now },
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -168,9 +168,8 @@
 				Prefix: tableFeed,
 			},
 			{
-				Prefix:    keysFeed,
-				Head:      keysHead,
-				Confirmed: true,
+				Prefix: keysFeed,
+				Head:   keysHead,
 			},
 		},
 		Settings: settings,
