Ignore ages that are out of range; measure the check of each request

**Cause** An age near the largest number overflowed when it was turned into a duration and put a confirmation into the future.

**Change** Ages above a year count as never. The fuzz test asserts that no message puts a confirmation into the future and starts from a sender that is a member.

--- a/fleet/capacity_test.go
+++ b/fleet/capacity_test.go
@@ -203,3 +203,21 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkConfirmation gives the time of the check that each keyed request
+// makes, at rest and while the view stands without the store.
+func BenchmarkConfirmation(b *testing.B) {
+	w := settled(b, 7, 94, 2, 2)
+	b.Run("confirmed", func(b *testing.B) { confirm(b, w) })
+	w.memory.SetFaults(store.Faults{
+		Down: true,
+	})
+	w.run(30 * time.Second)
+	b.Run("standing", func(b *testing.B) { confirm(b, w) })
+}
+
+func confirm(b *testing.B, w *world) {
+	for b.Loop() {
+		require.NoError(b, w.hosts[0].node.Confirmation(keysFeed))
+	}
+}
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -148,9 +148,13 @@
 	return int64((now - at + time.Millisecond - 1) / time.Millisecond)
 }
 
+// maxAge bounds the ages in messages, in milliseconds; what is older might as
+// well never have been.
+const maxAge = int64(365 * 24 * time.Hour / time.Millisecond)
+
 // since returns the time that an age stands for, counted from a base.
 func since(base time.Duration, age int64) time.Duration {
-	if age < 0 {
+	if age < 0 || age > maxAge {
 		return never
 	}
 	return base - time.Duration(age)*time.Millisecond
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -120,6 +121,27 @@
 		&fleet.FeedReply{
 			Feed: keysFeed,
 		},
+		&fleet.Poll{
+			Header: fleet.Header{
+				From: "host-2",
+				Echo: 1,
+			},
+			Status: fleet.Status{
+				Records: []fleet.Record{
+					{
+						Host: fleet.Host{
+							Name: "host-2",
+						},
+						Incarnation: 1,
+					},
+				},
+				Feeds: []fleet.FeedStatus{
+					{
+						Age: math.MaxInt64,
+					},
+				},
+			},
+		},
 	}
 	for _, seed := range seeds {
 		body, err := fleet.Encode(seed)
@@ -145,6 +167,8 @@
 			require.NoError(t, err)
 		}
 		node.Tick()
+		age, ok := node.ConfirmedAge(keysFeed)
+		require.True(t, !ok || age >= 0, "a view confirmed in the future: %s", age)
 	})
 }
 
