Run the fleet's three long tests side by side

**Cause** `go test -race ./fleet` took 184 s on a busy machine.

**Change** The three long tests are parallel; each has a world of its own.

--- a/fleet/capacity_test.go
+++ b/fleet/capacity_test.go
@@ -55,6 +55,7 @@
 
 // TestAtDesignSize runs the fleet at the size to design for.
 func TestAtDesignSize(t *testing.T) {
+	t.Parallel()
 	w := settled(t, 4, manyHosts, manyZones, manyRegions)
 	t.Run("control at rest and with restarts", func(t *testing.T) { controlInBudget(t, w) })
 	t.Run("the store is down for all", func(t *testing.T) { viewsStand(t, w) })
--- a/fleet/keys_test.go
+++ b/fleet/keys_test.go
@@ -282,6 +282,7 @@
 // TestWithdrawnKeysUnderEachCut gives for each cut what the rules cost: keyed
 // requests refused against seconds that a withdrawn key lives.
 func TestWithdrawnKeysUnderEachCut(t *testing.T) {
+	t.Parallel()
 	for _, s := range scenarios() {
 		r := newTrial(settled(t, 2, 7, 6, 3))
 		r.run(10 * time.Second)
@@ -304,6 +305,7 @@
 // at random, together and twice, with a lossy network and store outages. The
 // small fleet has readers only, the large one two levels below them.
 func TestWithdrawnKeysUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(6) {
 		randomFaults(t, seed, 14, 6, 3)
 	}
