--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -40,7 +40,7 @@
 			},
 			{
 				Prefix: "keys/",
-				Head:   "keys-head",
+				Head:      "keys-head",
 			},
 		},
 		Rand: rand.New(rand.NewPCG(seed, 1)),
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -12,16 +12,19 @@
 type Feed struct {
 	// Prefix starts the keys of its objects, and names the feed.
 	Prefix string
-	// Head, if set, is a key outside the prefix that every change is followed
-	// by a write of, before the change counts as accepted. A watch confirms a
-	// view only up to the head's version, so one that lags confirms nothing.
-	// Without a head, watches are trusted.
+	// Head, if set, makes the feed a confirmed one, whose view is read often
+	// enough for [Node.Confirmation]. It is a key outside the prefix that every
+	// change is followed by a write of, before the change counts as accepted. A
+	// watch confirms a view only up to the head's version, so one that lags
+	// confirms nothing. Of a feed without a head only changes are waited for.
 	Head string
 }
 
 // feed is this host's view of the objects under a prefix.
 type feed struct {
-	name    string
+	name string
+	// bounded is set for a confirmed feed.
+	bounded bool
 	objects map[string]platform.Object
 	// version is the highest of any object; all changes up to it are held.
 	version platform.Version
@@ -50,9 +53,10 @@
 	cut bool
 }
 
-func newFeed(name string) *feed {
+func newFeed(source Feed) *feed {
 	return &feed{
-		name:      name,
+		name:      source.Prefix,
+		bounded:   source.Head != "",
 		objects:   make(map[string]platform.Object),
 		confirmed: never,
 		tried:     never,
@@ -144,9 +148,13 @@
 	return int64((now - at + time.Millisecond - 1) / time.Millisecond)
 }
 
+// maxAge bounds the ages in messages, in milliseconds; what is older might as
+// well never have been.
+const maxAge = int64(365 * 24 * time.Hour / time.Millisecond)
+
 // since returns the time that an age stands for, counted from a base.
 func since(base time.Duration, age int64) time.Duration {
-	if age < 0 {
+	if age < 0 || age > maxAge {
 		return never
 	}
 	return base - time.Duration(age)*time.Millisecond
@@ -198,7 +206,7 @@
 
 // learnsFrom tells whether the member is one that this host polls for news.
 func (n *Node) learnsFrom(m *member) bool {
-	return slices.Contains(n.parents(), m) && !n.isReader()
+	return !n.isReader() && slices.Contains(n.parents(), m)
 }
 
 func (n *Node) receiveFeedRequest(request *FeedRequest, now time.Duration) []Envelope {
