Prune old versions of the table while others publish

Change: table.Pruner and "trefoilline table prune" delete all but the latest versions. Publishers write every part that the version in force does not have, even if the store holds it, so that a part about to be named again is newer than the head and stays. After a lost answer they look whether the object is newer than the head. An edit whose base is gone is refused for certain.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -20,6 +20,7 @@
 	"trefoilline.example/trefoilline/internal/command"
 	"trefoilline.example/trefoilline/internal/standin/store"
 	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/table"
 	"trefoilline.example/trefoilline/team"
 )
 
@@ -184,6 +185,14 @@
 	require.Contains(t, b.ok(t, "", "table", "restore", "1"), "version 4 stays in force")
 	require.Regexp(t, `(?s)4 .*3 .*2 .*esi.*1 `, b.ok(t, "", "table", "history"))
 	require.Contains(t, b.ok(t, "", "table", "diff", "--from", "2", "--to", "3"), "rate 40 -> 60")
+
+	b.fails(t, command.ExitUsage, "--keep", "", "table", "prune", "--keep", "0")
+	before := b.objects(t)
+	require.Contains(t, b.ok(t, "", "table", "prune", "--keep", "2", "--dry-run"), "would delete: 2 versions and 1 parts")
+	require.Equal(t, before, b.objects(t))
+	require.Contains(t, b.ok(t, "", "table", "prune", "--keep", "2"), "the oldest version that stays is 3")
+	b.fails(t, command.ExitNotFound, "accepted: 3 to 4", "", "table", "restore", "1")
+	require.Contains(t, b.ok(t, "", "table", "restore", "3"), "accepted as version 5")
 }
 
 func TestBadTableChangesNothing(t *testing.T) {
@@ -298,3 +307,23 @@
 	require.Regexp(t, `accra +storefront +2 +2 +8 +2 +6`, drawn)
 	require.Contains(t, b.ok(t, "", "completion", "bash"), "trefoilline")
 }
+
+// TestExitCodes holds the codes of errors that carry others.
+func TestExitCodes(t *testing.T) {
+	unknown := &platform.UnknownOutcomeError{}
+	require.Equal(t, command.ExitUnreached, command.ExitCode(&table.NotPublishedError{
+		Cause: unknown,
+	}))
+	require.Equal(t, command.ExitUnknown, command.ExitCode(&table.UnknownOutcomeError{
+		Cause: &platform.UnreachedError{},
+	}))
+	require.Equal(t, command.ExitRefused, command.ExitCode(&table.NotPublishedError{
+		Cause: &platform.RefusedError{},
+	}))
+	require.Equal(t, command.ExitUnknown, command.ExitCode(&team.UnknownOutcomeError{
+		Cause: unknown,
+	}))
+	require.Equal(t, command.ExitOther, command.ExitCode(&command.OutputError{
+		Cause: context.Canceled,
+	}))
+}
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -61,13 +61,16 @@
 }
 
 // ExitCode returns the code for the kind of error. Errors that say how certain
-// the outcome is come before those that caused them.
+// the outcome is come before those that caused them: an edit is not published,
+// for certain, when the outcome of writing one of its parts is unknown.
 func ExitCode(err error) int {
 	switch {
 	case err == nil:
 		return ExitOK
 	case is[*NotInForceError](err):
 		return ExitNotInForce
+	case is[*table.NotPublishedError](err) && is[*platform.UnknownOutcomeError](err):
+		return ExitUnreached
 	case is[*table.UnknownOutcomeError](err), is[*team.UnknownOutcomeError](err), is[*platform.UnknownOutcomeError](err):
 		return ExitUnknown
 	case is[*UsageError](err), is[*SettingError](err), is[*NoBaseError](err), is[*NoHostError](err), is[*AmbiguousKeyError](err):
--- a/internal/command/table.go
+++ b/internal/command/table.go
@@ -11,6 +11,7 @@
 		newTableApply(),
 		newTableHistory(),
 		newTableRestore(),
+		newTablePrune(),
 		newTableStatus(),
 	)
 }
--- a/table/attempt.go
+++ b/table/attempt.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return Receipt{}, worthRetry(err), err
 	}
-	head, err := a.writeVersion(ctx, current.head, next)
+	head, err := a.writeVersion(ctx, current, next)
 	if err != nil {
 		return Receipt{}, worthRetry(err), a.failure(err)
 	}
@@ -156,6 +156,12 @@
 		return a.edit.Table, nil
 	}
 	base, current, err := a.both(ctx, head)
+	var pruned *NoVersionError
+	if errors.As(err, &pruned) {
+		// The table has changed since the base, so nothing was published, although
+		// the changes cannot be told.
+		return Table{}, pruned
+	}
 	if err != nil {
 		return Table{}, a.failure(err)
 	}
--- a/table/errors.go
+++ b/table/errors.go
@@ -46,14 +46,16 @@
 
 func (e *NoTableError) Error() string { return "no table has been published" }
 
-// NoVersionError reports that there is no such version.
+// NoVersionError reports that there is no such version, or that it was pruned.
 type NoVersionError struct {
 	Version Version
-	Newest  Version
+	// Oldest is the oldest version that was looked at, Newest the one in force.
+	Oldest Version
+	Newest Version
 }
 
 func (e *NoVersionError) Error() string {
-	return fmt.Sprintf("there is no version %d; accepted: 1 to %d", e.Version, e.Newest)
+	return fmt.Sprintf("there is no version %d; accepted: %d to %d", e.Version, e.Oldest, e.Newest)
 }
 
 // ConflictError reports that the table has changed since the version that the
--- a/table/history.go
+++ b/table/history.go
@@ -1,9 +1,14 @@
 package table
 
-import "context"
+import (
+	"context"
+	"errors"
+
+	"trefoilline.example/trefoilline/platform"
+)
 
 // History returns the manifests of the latest versions, the newest first, at
-// most limit of them; zero means all. Each costs one read.
+// most limit of them; zero means all that were not pruned. Each costs one read.
 func History(ctx context.Context, source Getter, limit int) ([]Manifest, error) {
 	var manifests []Manifest
 	err := walk(ctx, source, func(m Manifest, _ Sum) bool {
@@ -16,10 +21,10 @@
 // ReadVersion returns an earlier version whole. Errors are those of the
 // source, a [NoTableError] or a [NoVersionError].
 func ReadVersion(ctx context.Context, source Getter, version Version) (*Snapshot, error) {
-	var newest Version
+	var newest, oldest Version
 	var found Sum
 	err := walk(ctx, source, func(m Manifest, sum Sum) bool {
-		newest = max(newest, m.Version)
+		newest, oldest = max(newest, m.Version), m.Version
 		if m.Version == version {
 			found = sum
 		}
@@ -31,6 +36,7 @@
 	if found == "" {
 		return nil, &NoVersionError{
 			Version: version,
+			Oldest:  oldest,
 			Newest:  newest,
 		}
 	}
@@ -52,9 +58,18 @@
 	if err != nil {
 		return err
 	}
+	return walkFrom(ctx, source, head, visit)
+}
+
+// walkFrom ends without an error at the first version that was pruned.
+func walkFrom(ctx context.Context, source Getter, head Head, visit func(Manifest, Sum) bool) error {
 	version, sum := head.Version, head.Manifest
 	for sum != "" {
 		_, m, err := getManifest(ctx, source, version, sum)
+		var missing *platform.NotFoundError
+		if errors.As(err, &missing) && version < head.Version {
+			return nil
+		}
 		if err != nil {
 			return err
 		}
--- a/table/publish.go
+++ b/table/publish.go
@@ -49,8 +49,9 @@
 
 // Publish makes the edit the version in force. Until the last write, that of
 // the head, nobody sees anything of it. Errors that mean that nothing was
-// published: [InvalidError], [ConflictError], [OverlapError],
-// [EditReusedError], [NoEditError], [NotPublishedError]. An
+// published: [InvalidError], [ConflictError], [OverlapError], [NoVersionError]
+// (a conflict whose base is gone), [EditReusedError], [NoEditError],
+// [NotPublishedError]. An
 // [UnknownOutcomeError] means that it may have been.
 func (p *Publisher) Publish(ctx context.Context, edit Edit) (Receipt, error) {
 	if edit.ID == "" {
--- a/table/version.go
+++ b/table/version.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 
 	"golang.org/x/sync/errgroup"
 
@@ -12,12 +11,13 @@
 
 // writeVersion writes the parts that the version in force does not have, then
 // the manifest, and returns the head that will name it.
-func (a *attempt) writeVersion(ctx context.Context, current Head, t Table) (Head, error) {
+func (a *attempt) writeVersion(ctx context.Context, from storedHead, t Table) (Head, error) {
+	current := from.head
 	parts, err := split(t)
 	if err != nil {
 		return Head{}, err
 	}
-	if err := a.writeParts(ctx, current, parts); err != nil {
+	if err := a.writeParts(ctx, from, parts); err != nil {
 		return Head{}, err
 	}
 	m := Manifest{
@@ -40,7 +40,7 @@
 		}
 	}
 	sum := sumOf(content)
-	if err := a.writeOnce(ctx, ManifestKey(m.Version, sum), content); err != nil {
+	if err := a.writeContent(ctx, from, ManifestKey(m.Version, sum), content); err != nil {
 		return Head{}, err
 	}
 	edits := append(current.Edits[:len(current.Edits):len(current.Edits)], RememberedEdit{
@@ -55,10 +55,10 @@
 	}, nil
 }
 
-func (a *attempt) writeParts(ctx context.Context, current Head, parts []encodedPart) error {
+func (a *attempt) writeParts(ctx context.Context, from storedHead, parts []encodedPart) error {
 	held := make(map[Sum]bool)
-	if current.Version > 0 {
-		_, m, err := getManifest(ctx, a.publisher.Store, current.Version, current.Manifest)
+	if from.head.Version > 0 {
+		_, m, err := getManifest(ctx, a.publisher.Store, from.head.Version, from.head.Manifest)
 		if err != nil {
 			return err
 		}
@@ -73,29 +73,36 @@
 			continue
 		}
 		calls.Go(func() error {
-			return a.writeOnce(ctx, PartKey(part.sum), part.content)
+			return a.writeContent(ctx, from, PartKey(part.sum), part.content)
 		})
 	}
 	return calls.Wait()
 }
 
-// writeOnce writes an object that is named by its content. If it exists, it
-// holds what is to be written.
-func (a *attempt) writeOnce(ctx context.Context, key string, content []byte) error {
+// writeContent writes an object that is named by its content. One that exists holds
+// the same; it is written all the same, so that it is newer than the head and a
+// [Pruner] leaves it alone.
+func (a *attempt) writeContent(ctx context.Context, from storedHead, key string, content []byte) error {
 	var last error
 	for try := range MaxAttempts {
 		if err := pause(ctx, try); err != nil {
 			return err
 		}
-		_, err := a.publisher.Store.Put(ctx, key, content, platform.IfAbsent{})
-		var exists *platform.ConflictError
-		if err == nil || errors.As(err, &exists) {
+		if try > 0 && a.written(ctx, from, key) {
 			return nil
 		}
-		if !worthRetry(err) {
+		_, err := a.publisher.Store.Put(ctx, key, content, platform.Always{})
+		if err == nil || !worthRetry(err) {
 			return err
 		}
 		last = err
 	}
 	return last
 }
+
+// written says whether an object is newer than the head, which shows that a
+// write took effect whose answer was lost.
+func (a *attempt) written(ctx context.Context, from storedHead, key string) bool {
+	object, err := a.publisher.Store.Get(ctx, key)
+	return err == nil && object.Version > from.stored
+}
