--- a/table/publish_test.go
+++ b/table/publish_test.go
@@ -100,4 +100,5 @@
 	require.NoError(t, err)
 	require.Equal(t, 3, store.store.gets-gets)
 	require.Empty(t, table.Compare(large, snapshot.Table))
+	require.Equal(t, snapshot.Table, load(t, snapshot).Table, "a peer serves every part as it lies in the store")
 }
