--- a/share/large_test.go
+++ b/share/large_test.go
@@ -12,6 +12,7 @@
 const mostControl = 16 << 10
 
 func TestSixHundredAndFiftyHosts(t *testing.T) {
+	t.Parallel()
 	limits := teamLimits(8)
 	f := newFleet(t, 5, 650, limits)
 	f.run(30 * time.Second)
--- a/share/outage_test.go
+++ b/share/outage_test.go
@@ -52,6 +52,7 @@
 }
 
 func TestStoreDownForAnHour(t *testing.T) {
+	t.Parallel()
 	limits := teamLimits(8)
 	f := newFleet(t, 2, 7, limits)
 	f.run(30 * time.Second)
