Recall loans when callers move to another host

Change: a lender that runs short, or can't meet a wish, recalls what exceeds a borrower's portion; the borrower answers at once for what its last ticks needed, and tells the lender at once when an answer took a part back. The estimate of demand for rates falls in 1.5 s instead of 10 s.

--- a/share/borrow.go
+++ b/share/borrow.go
@@ -80,6 +80,7 @@
 			b.borrowed = append(b.borrowed, &borrowed{
 				from:  home,
 				asked: never,
+				told:  never,
 				until: never,
 			})
 		}
@@ -119,7 +120,7 @@
 	for place, l := range lenders {
 		if l.generous(now) {
 			wants[place] += lack / float64(open)
-		} else if now.fast-l.asked >= renewPeriod {
+		} else if now.fast-l.asked >= renewPeriod/2 {
 			wants[place] += lack / float64(len(lenders))
 		}
 	}
@@ -149,6 +150,9 @@
 
 // due says whether the loan needs a message now.
 func (l *borrowed) due(want float64, now instant) bool {
+	if l.recalled {
+		return true
+	}
 	age := now.fast - l.asked
 	if age < askPeriod {
 		return false
@@ -184,6 +188,7 @@
 	l.asked = now.fast
 	l.waiting = true
 	l.lowered = false
+	l.recalled = false
 	l.want = want
 	return AskItem{
 		Limit:    b.limit.Name,
@@ -216,10 +221,13 @@
 	b.borrowed = kept
 }
 
-func (h *Holder) receiveLend(m Lend, now instant) {
+// receiveLend takes over the loans. It tells the lender at once of parts that
+// became smaller, since the lender waits for that.
+func (h *Holder) receiveLend(m Lend, now instant) []Envelope {
 	if m.To != h.identity {
-		return
+		return nil
 	}
+	var messages askMessages
 	confirmed := h.confirmed(now)
 	for _, item := range m.Items {
 		b, ok := h.buckets[item.Limit]
@@ -232,7 +240,13 @@
 		}
 		b.settle(now, confirmed)
 		b.accept(l, item, now, confirmed)
+		if l.lowered && now.fast-l.told >= renewPeriod {
+			l.told = now.fast
+			h.sequence++
+			messages.add(l.from, b.ask(l, l.part, h.sequence, now))
+		}
 	}
+	return messages.envelopes(h.identity)
 }
 
 // accept takes over the lender's answer to the newest ask.
--- a/share/bucket.go
+++ b/share/bucket.go
@@ -49,6 +49,8 @@
 	// until beforeUntil.
 	before      float64
 	beforeUntil time.Duration
+	// recalled is when the borrower was last asked to give the part back.
+	recalled time.Duration
 }
 
 // outstanding is the part that the borrower may be using.
@@ -78,7 +80,11 @@
 	// lowered says that the last answer took a part back, which the lender may
 	// use only once it knows that the answer arrived.
 	lowered bool
-	want    float64
+	// recalled says that the lender asked for the part; told is when the lender
+	// was last told at once of a part taken back.
+	recalled bool
+	told     time.Duration
+	want     float64
 }
 
 // settle brings the bucket up to date. A part that ended since the last call
--- a/share/demand.go
+++ b/share/demand.go
@@ -8,7 +8,9 @@
 const (
 	// demandRise and demandFall are how fast the estimate follows the demand.
 	demandRise = 500 * time.Millisecond
-	demandFall = 10 * time.Second
+	demandFall = 1500 * time.Millisecond
+	// slotsFall is slower, because slots that change hosts stay idle longer.
+	slotsFall = 10 * time.Second
 	// demandRoom is how much more than the demand a host tries to hold.
 	demandRoom = 1.4
 	// reserveRoom is how much more than the demand a host keeps from lending.
@@ -28,6 +30,8 @@
 	// estimate is in requests per second, or in slots.
 	estimate float64
 	updated  time.Duration
+	// recent is the demand in the last ticks, the newest first.
+	recent [2]float64
 }
 
 // update closes the interval since the last update.
@@ -41,10 +45,15 @@
 	if _, ok := limit.Kind.(Slots); ok {
 		current = max(d.peak, used) + d.refused
 	}
+	copy(d.recent[1:], d.recent[:])
+	d.recent[0] = current
 	if d.refused > 0 {
 		d.estimate = max(d.estimate, current)
 	}
 	constant := demandFall
+	if _, ok := limit.Kind.(Slots); ok {
+		constant = slotsFall
+	}
 	if current > d.estimate {
 		constant = demandRise
 	}
--- a/share/errors.go
+++ b/share/errors.go
@@ -20,7 +20,7 @@
 }
 
 func (e *MessageKindError) Error() string {
-	return fmt.Sprintf("share: unknown kind of message %q; accepted are beat, propose, consent, ask and lend", e.Kind)
+	return fmt.Sprintf("share: unknown kind of message %q; accepted are beat, propose, consent, ask, lend and recall", e.Kind)
 }
 
 // StoreError reports that the allocation could not be read or written. The
--- a/share/lend.go
+++ b/share/lend.go
@@ -15,6 +15,7 @@
 		return nil
 	}
 	confirmed := h.confirmed(now)
+	var recalls recallMessages
 	answer := Lend{
 		From: m.To,
 		To:   m.From,
@@ -29,17 +30,19 @@
 		if item.Sequence <= l.sequence {
 			continue
 		}
-		answer.Items = append(answer.Items, h.lend(b, l, item, now, confirmed))
+		lent := h.lend(b, l, item, now, confirmed)
+		answer.Items = append(answer.Items, lent)
+		if lent.Part < item.Want-leastDemand {
+			recalls.add(b, l, now)
+		}
 	}
 	if len(answer.Items) == 0 {
 		return nil
 	}
-	return []Envelope{
-		{
-			To:      m.From.Host,
-			Message: answer,
-		},
-	}
+	return append(recalls.envelopes, Envelope{
+		To:      m.From.Host,
+		Message: answer,
+	})
 }
 
 // forgetLoans drops the loans that ended long ago.
@@ -56,8 +59,9 @@
 		}
 	}
 	l := &lent{
-		to: borrower,
-		as: as,
+		recalled: never,
+		to:       borrower,
+		as:       as,
 	}
 	b.lent = append(b.lent, l)
 	return l
--- a/share/message.go
+++ b/share/message.go
@@ -6,7 +6,7 @@
 )
 
 // Message is what holders say to each other: [Beat], [Propose], [Consent],
-// [Ask] or [Lend]. Messages may be lost, repeated, late and out of order.
+// [Ask], [Lend] or [Recall]. Messages may be lost, repeated, late and out of order.
 type Message interface{ message() }
 
 // Envelope is a message and the host that it goes to.
@@ -104,6 +104,14 @@
 	Duration time.Duration `json:"duration"`
 }
 
+// Recall tells a borrower that others need what it holds.
+type Recall struct {
+	From   Identity `json:"from"`
+	To     Identity `json:"to"`
+	Limits []string `json:"limits"`
+}
+
+func (Recall) message()  {}
 func (Beat) message()    {}
 func (Propose) message() {}
 func (Consent) message() {}
@@ -128,6 +136,8 @@
 		return "ask"
 	case Lend:
 		return "lend"
+	case Recall:
+		return "recall"
 	default:
 		return ""
 	}
@@ -178,6 +188,8 @@
 		return decodeBody[Ask](f.Body)
 	case "lend":
 		return decodeBody[Lend](f.Body)
+	case "recall":
+		return decodeBody[Recall](f.Body)
 	default:
 		return nil, &MessageKindError{
 			Kind: f.Kind,
--- a/share/outage_test.go
+++ b/share/outage_test.go
@@ -125,3 +125,23 @@
 	}
 	requireSafe(t, f)
 }
+
+// Callers that move to another host at once find the parts lent to the old one.
+func TestCallersMove(t *testing.T) {
+	limits := teamLimits(8)
+	f := newFleet(t, 7, 7, limits)
+	f.run(30 * time.Second)
+	all := f.startTeams(limits)
+	f.run(30 * time.Second)
+	reset(all)
+	for place, c := range all {
+		c.hosts = f.names[(place+3)%7 : (place+3)%7+1]
+	}
+	for range 8 {
+		f.run(time.Second)
+		t.Logf("%.4f refused in this second", reset(all))
+	}
+	f.run(time.Minute)
+	require.Less(t, reset(all), mostRefused)
+	requireSafe(t, f)
+}
--- a/share/tick.go
+++ b/share/tick.go
@@ -10,6 +10,7 @@
 	envelopes := h.beats(now)
 	envelopes = append(envelopes, h.propose(now)...)
 	envelopes = append(envelopes, h.asks(now)...)
+	envelopes = append(envelopes, h.recallOwn(now)...)
 	h.forgetLimits(now)
 	return envelopes
 }
@@ -41,8 +42,9 @@
 	case Ask:
 		return h.receiveAsk(m, now)
 	case Lend:
-		h.receiveLend(m, now)
-		return nil
+		return h.receiveLend(m, now)
+	case Recall:
+		return h.receiveRecall(m, now)
 	default:
 		return nil
 	}
