--- a/share/recall.go
+++ b/share/recall.go
@@ -24,8 +24,9 @@
 // add recalls the loans of the limit from all but one borrower, each at most
 // once in a while.
 func (m *recallMessages) add(b *bucket, except *lent, now instant) {
+	portion := b.portion(now)
 	for _, l := range b.lent {
-		if l == except || l.outstanding(now) < b.portion(now)+leastDemand || now.slow-l.recalled < renewPeriod/2 {
+		if l == except || l.outstanding(now) < portion+leastDemand || now.slow-l.recalled < renewPeriod/2 {
 			continue
 		}
 		l.recalled = now.slow
