--- a/share/baseline_test.go
+++ b/share/baseline_test.go
@@ -110,17 +110,14 @@
 	ledger  *share.Ledger
 	sent    int
 	refused int
-	good    int
 }
 
 func (s *score) offer(host string, now time.Time) {
 	s.sent++
 	if !s.rival.take(host, now) {
 		s.refused++
-		s.good = 0
 		return
 	}
-	s.good++
 	s.ledger.Add(share.Record{
 		Limit: "team/000",
 		Host:  host,
