Drop the reserve of the queue

**Cause** The reserve from the team that holds the most needs a fixed number of slots; with slots that move as loans between hosts it hides demand, and the request path does not set it.

**Change** The reserve goes; fair queueing over slot time stays.

--- a/queue/dispatch.go
+++ b/queue/dispatch.go
@@ -16,13 +16,10 @@
 }
 
 // dispatch grants until nothing is free or no request waits. The next request
-// is the first of the team that comes first.
+// is the first of the team that used the least.
 func (q *Queue[T]) dispatch(now time.Time) {
 	for len(q.waiting) > 0 {
-		t := q.next()
-		if t == nil {
-			return
-		}
+		t := q.waiting[0]
 		w := t.line[0]
 		if late := tooLate(t, w, now); late != nil {
 			q.remove(t, 0)
@@ -72,7 +69,6 @@
 	t.held++
 	q.held++
 	q.fix(t)
-	q.raiseTop(t)
 	return &Grant[T]{
 		Value:   value,
 		Waited:  now.Sub(w.arrived),
@@ -87,7 +83,6 @@
 func (q *Queue[T]) settleAccount(t *team[T], charged, held float64) {
 	t.held--
 	q.held--
-	q.lowerTop(t)
 	t.charge(held - charged)
 	q.fix(t)
 	t.learn(held)
@@ -114,7 +109,7 @@
 		})
 	}
 	for _, other := range q.waiting[:min(len(q.waiting), checkedTeams)] {
-		if other.used < t.used && q.eligible(other) {
+		if other.used < t.used {
 			q.report(UnfairGrant{
 				Team:   t.name,
 				Before: other.name,
--- a/queue/doc.go
+++ b/queue/doc.go
@@ -5,9 +5,7 @@
 Each team has a line of its own, bounded in length. What becomes free goes to
 the team that has used the least for its weight (start-time fair queueing over
 the time that grants are held), so a team that sends several times its rate
-waits for itself. A quarter of what there is to grant is kept from the team that
-holds the most for its weight, so that the others find something free. A
-request that cannot meet its deadline is refused at once.
+waits for itself. A request that cannot meet its deadline is refused at once.
 
 # Usage
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -17,10 +17,6 @@
 	// other goes to the request. It is called with the queue locked and must
 	// not call the queue.
 	Try func() (T, error)
-	// Capacity returns how many grants may be held at once, for the reserve;
-	// nil means that no reserve is kept. It is called with the queue locked and
-	// must not call the queue.
-	Capacity func() int
 	// Clock returns the time; nil means time.Now.
 	Clock func() time.Time
 	// Bound is how many requests of a team may wait; zero means DefaultBound.
@@ -39,13 +35,6 @@
 	virtual float64
 	// held is how many grants are held.
 	held int
-	// top is the team that holds the most for its weight; nil if none holds.
-	top *team[T]
-	// holding has the teams that hold grants.
-	holding []*team[T]
-	// active is the sum of the weights of the teams seen of late.
-	active      float64
-	activeSince time.Time
 	// length is how many requests wait.
 	length int
 	// hold is the mean time that a grant is held, in seconds.
@@ -88,8 +77,6 @@
 	q.mu.Lock()
 	now := q.now()
 	t := q.team(name)
-	t.seen = now
-	q.countActive(now)
 	if err := q.refuse(t, deadline, now); err != nil {
 		q.mu.Unlock()
 		return nil, err
--- a/queue/team.go
+++ b/queue/team.go
@@ -28,10 +28,6 @@
 	// held is how many grants the team holds.
 	held int
 	line []*waiter[T]
-	// holds is the place among the teams that hold grants.
-	holds int
-	// seen is when its last request came.
-	seen time.Time
 	// at is the place among the waiting teams; -1 if none of its requests
 	// waits.
 	at int
@@ -64,11 +60,6 @@
 	) < 0
 }
 
-// part is what the team holds for its weight.
-func (t *team[T]) part() float64 {
-	return float64(t.held) / t.weight
-}
-
 // charge adds seconds of held grants to what the team used.
 func (t *team[T]) charge(seconds float64) {
 	t.used += seconds / t.weight
--- a/queue/violation.go
+++ b/queue/violation.go
@@ -19,7 +19,7 @@
 }
 
 // UnfairGrant says that a team was served before one that had used less for
-// its weight and might have been served.
+// its weight.
 type UnfairGrant struct {
 	Team   string
 	Before string
