--- a/share/bucket.go
+++ b/share/bucket.go
@@ -37,7 +37,10 @@
 
 // lent is a part that another host uses.
 type lent struct {
-	to       Identity
+	to Identity
+	// as is the holder that the borrower asked, which may be an earlier process
+	// of this host; the borrower counts it apart.
+	as       Identity
 	sequence uint64
 	want     float64
 	part     float64
@@ -81,18 +84,19 @@
 // settle brings the bucket up to date. A part that ended since the last call
 // counts as ended then, and one that came back counts from its return.
 func (b *bucket) settle(now instant, confirmed bool) {
-	for back := b.nextReturn(now.slow); back < now.slow; back = b.nextReturn(now.slow) {
-		b.fill(back, now, confirmed)
+	for next := b.nextGain(now.slow); next < now.slow; next = b.nextGain(now.slow) {
+		b.fill(next, now, confirmed)
 	}
 	b.fill(now.slow, now, confirmed)
-	if now.slow >= b.raise {
-		b.part = b.target
-	}
 }
 
-// nextReturn is when the next lent part comes back, at most the end.
-func (b *bucket) nextReturn(end time.Duration) time.Duration {
+// nextGain is when the next lent part comes back or the part of a new epoch may
+// be used, at most the end.
+func (b *bucket) nextGain(end time.Duration) time.Duration {
 	next := end
+	if b.raise > b.filled {
+		next = min(next, b.raise)
+	}
 	for _, l := range b.lent {
 		if l.until > b.filled {
 			next = min(next, l.until)
@@ -104,8 +108,7 @@
 	return next
 }
 
-// fill adds the tokens of the time up to the end, in which nothing was lent or
-// came back.
+// fill adds the tokens of the time up to the end, in which no part was gained.
 func (b *bucket) fill(end time.Duration, now instant, confirmed bool) {
 	begin := instant{
 		slow: b.filled,
@@ -114,8 +117,11 @@
 	part := b.usable(begin, confirmed)
 	passed := max(0, end-b.filled)
 	b.filled = end
-	b.level += part * b.limit.perSecond() * passed.Seconds()
+	b.level += part * b.limit.perSecond() * refill * passed.Seconds()
 	b.clip(part)
+	if b.filled >= b.raise {
+		b.part = b.target
+	}
 }
 
 // clip drops the tokens that exceed the part of the burst. Takes from before
@@ -184,7 +190,7 @@
 		b.spend(count)
 		return 0, true
 	}
-	rate := b.usable(now, confirmed) * b.limit.perSecond()
+	rate := b.usable(now, confirmed) * b.limit.perSecond() * refill
 	if rate <= 0 {
 		return BeatPeriod, false
 	}
@@ -226,5 +232,8 @@
 		b.raise = now.slow + wait
 	}
 	b.part = min(b.part, part)
+	if wait == 0 {
+		b.part = part
+	}
 	b.clip(b.usable(now, true))
 }
