Decide a request's region once, deal slots to live hosts, probe each server from few hosts

Cause: each retry decided again and took link and shift tokens again; every error counted as a region without room; the pool did not know the live hosts, so slots had no home and every host probed every server; a payment with a body could not go to another server after one refused it.

--- a/entry/call.go
+++ b/entry/call.go
@@ -12,6 +12,7 @@
 	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/header"
 	"trefoilline.example/trefoilline/share"
+	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
 
@@ -34,6 +35,8 @@
 	deadline time.Time
 	// grant is what the request took of its team's rate.
 	grant share.Grant
+	// decision is the region of all tries, nil before the first.
+	decision *steer.Decision
 	// attempt is the slot that the request holds now, nil if none.
 	attempt *attempt
 	// server is the backend server that the request met last.
@@ -153,7 +156,7 @@
 	request.Key = c.key
 	request.Idempotent = c.route.Repeat == table.Idempotent
 	stream, isStream := request.Body.(*exchange.Stream)
-	if !request.Idempotent || !isStream {
+	if !isStream {
 		return request, nil
 	}
 	body, err := exchange.Buffer(stream, MaxBuffered)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,7 +46,7 @@
 	// DefaultDeadline bounds requests if a handler sets no bound.
 	DefaultDeadline = time.Minute
 	// MaxBuffered is the largest body, in bytes, that is kept in memory so that
-	// an idempotent request can be sent again.
+	// a request that was not run can be sent again.
 	MaxBuffered = 64 << 10
 )
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -88,22 +88,15 @@
 // acquire takes a slot. It checks the key once more, since the request may have
 // waited long or the process may have been frozen.
 func (c *call) acquire() error {
-	question := steer.Request{
-		Route: c.route.Name,
-		Team:  c.team,
-		Point: steer.NewPoint(c.team, c.client(), c.name),
-	}
-	decision, err := c.handler.Router.Decide(question)
-	if err != nil {
-		return err
-	}
-	destination := place{
-		Service: decision.Service,
-		Region:  decision.Region,
+	grant, err := c.await()
+	var lost *backend.LostRegionError
+	if errors.As(err, &lost) {
+		// The region is lost since the decision; the router may know another.
+		c.handler.Router.SetLost(lost.Service, lost.Region, true)
+		c.decision = nil
+		grant, err = c.await()
 	}
-	grant, err := c.handler.queueOf(destination).Acquire(c.ctx, c.team, c.deadline)
 	if err != nil {
-		c.noteLost(question, decision, err)
 		return err
 	}
 	c.handler.Measures.Waited(c.team, grant.Waited)
@@ -118,13 +111,37 @@
 	return nil
 }
 
-// noteLost tells the router of a region that cannot take the request.
-func (c *call) noteLost(question steer.Request, decision steer.Decision, err error) {
-	var lost *backend.LostRegionError
-	if errors.As(err, &lost) {
-		c.handler.Router.SetLost(lost.Service, lost.Region, true)
+// await waits for a slot in the region that the router decided on. Further
+// tries stay there: each decision takes tokens of links and shifts.
+func (c *call) await() (*queue.Grant[*backend.Reservation], error) {
+	question := steer.Request{
+		Route: c.route.Name,
+		Team:  c.team,
+		Point: steer.NewPoint(c.team, c.client(), c.name),
+	}
+	if c.decision == nil {
+		decision, err := c.handler.Router.Decide(question)
+		if err != nil {
+			return nil, err
+		}
+		c.decision = &decision
+	}
+	destination := place{
+		Service: c.decision.Service,
+		Region:  c.decision.Region,
 	}
-	c.handler.Router.NoSlot(question, decision)
+	grant, err := c.handler.queueOf(destination).Acquire(c.ctx, c.team, c.deadline)
+	if isCrowded(err) {
+		c.handler.Router.NoSlot(question, *c.decision)
+	}
+	return grant, err
+}
+
+// isCrowded reports whether the region had no room for the request in time.
+func isCrowded(err error) bool {
+	var slot *backend.NoSlotError
+	var deadline *queue.DeadlineError
+	return errors.As(err, &slot) || errors.As(err, &deadline)
 }
 
 // send hands the request to the backend server that holds the slot.
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -130,6 +130,7 @@
 	d.limits.SetLive(processes)
 	if before := d.members.Load(); before == nil || !slices.Equal(*before, live) {
 		d.members.Store(&live)
+		d.pool.SetHosts(d.settings.Host, d.working())
 		d.refreshLookup()
 	}
 }
