Record what callers send and play it back against stated outcomes

Change: the caller stand-in records its requests; trefoilline-standin replay plays a trace over the holders of limits in simulated time and fails if more is refused than stated or a limit does not hold.

--- a/cmd/trefoilline-standin/main.go
+++ b/cmd/trefoilline-standin/main.go
@@ -9,6 +9,7 @@
 
 	"trefoilline.example/trefoilline/internal/standin/backend"
 	"trefoilline.example/trefoilline/internal/standin/caller"
+	"trefoilline.example/trefoilline/internal/standin/replay"
 	"trefoilline.example/trefoilline/internal/standin/store"
 )
 
@@ -18,7 +19,7 @@
 		Short:        "Stand in for the systems around trefoilline",
 		SilenceUsage: true,
 	}
-	root.AddCommand(store.NewCommand(), backend.NewCommand(), caller.NewCommand())
+	root.AddCommand(store.NewCommand(), backend.NewCommand(), caller.NewCommand(), replay.NewCommand())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -109,9 +109,11 @@
 		}
 		last = c.attempt(ctx, h, ticket, request)
 		last.Tries = i + 1
+		last.Host = h
 		if last.issuerLost() && !mayRun {
 			ticket = c.replaceTicket(ctx)
 			last = c.attempt(ctx, h, ticket, request)
+			last.Host = h
 		}
 		mayRun = mayRun || last.Kind == Unknown
 		if !last.again(request, ticket != "") {
--- a/internal/standin/caller/command.go
+++ b/internal/standin/caller/command.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	rate    float64
 	timeout time.Duration
 	output  string
+	record  string
+	team    string
 }
 
 // NewCommand returns the command
@@ -51,6 +54,8 @@
 	flags.IntVar(&o.count, "count", 1, "number of requests")
 	flags.Float64Var(&o.rate, "rate", 10, "requests per second")
 	flags.DurationVar(&o.timeout, "timeout", 10*time.Second, "limit on each request")
+	flags.StringVar(&o.record, "record", "", "file to write the requests to, as a trace")
+	flags.StringVar(&o.team, "record-team", "", "the team's name in the trace")
 	flags.StringVar(&o.output, "output", "text", "text or json")
 	return command
 }
@@ -78,6 +83,17 @@
 		Rate:    o.rate,
 		Timeout: o.timeout,
 	}
+	if o.record != "" {
+		file, err := os.Create(o.record)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		load.Recorder = &Recorder{
+			Out:  file,
+			Team: o.team,
+		}
+	}
 	summary := load.Run(ctx)
 	if o.output == "json" {
 		return json.NewEncoder(w).Encode(summary)
--- a/internal/standin/caller/load.go
+++ b/internal/standin/caller/load.go
@@ -28,6 +28,8 @@
 	Rate float64
 	// Timeout bounds each request.
 	Timeout time.Duration
+	// Recorder takes the requests as a trace; nil records nothing.
+	Recorder *Recorder
 }
 
 // Summary is what came of a load.
@@ -62,6 +64,7 @@
 	limiter := rate.NewLimiter(rate.Limit(l.Rate), 1)
 	var group sync.WaitGroup
 	results := make(chan Result, l.Count)
+	start := time.Now()
 	for range l.Count {
 		if limiter.Wait(ctx) != nil {
 			break
@@ -69,7 +72,12 @@
 		group.Go(func() {
 			bounded, cancel := context.WithTimeout(ctx, l.Timeout)
 			defer cancel()
-			results <- l.Caller.Send(bounded, l.Request)
+			at := time.Since(start)
+			result := l.Caller.Send(bounded, l.Request)
+			if l.Recorder != nil && l.Recorder.record(at, result) != nil {
+				result.Reason = "not recorded"
+			}
+			results <- result
 		})
 	}
 	group.Wait()
--- a/internal/standin/caller/result.go
+++ b/internal/standin/caller/result.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"trefoilline.example/trefoilline/admission"
@@ -35,6 +36,8 @@
 	Reason string
 	Header http.Header
 	Body   []byte
+	// Host is the entry host that the request was sent to last.
+	Host netip.AddrPort
 	// Tries counts the hosts that the request was sent to.
 	Tries   int
 	Latency time.Duration
