Add the load and experiment tool: run a plan, compare two runs

Change: package internal/standin/experiment and the commands `trefoilline-standin experiment` and `compare`. A plan file is checked at start, all faults at once; arrivals and mix come from the plan's seed; load is open loop with a bound on requests under way; faults go to the stand-ins on a timetable.

No run against a fleet yet.

--- a/cmd/trefoilline-standin/main.go
+++ b/cmd/trefoilline-standin/main.go
@@ -9,6 +9,7 @@
 
 	"trefoilline.example/trefoilline/internal/standin/backend"
 	"trefoilline.example/trefoilline/internal/standin/caller"
+	"trefoilline.example/trefoilline/internal/standin/experiment"
 	"trefoilline.example/trefoilline/internal/standin/store"
 )
 
@@ -19,6 +20,7 @@
 		SilenceUsage: true,
 	}
 	root.AddCommand(store.NewCommand(), backend.NewCommand(), caller.NewCommand())
+	root.AddCommand(experiment.NewCommand(), experiment.NewCompareCommand())
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/standin/experiment/command_run.go
@@ -0,0 +1,53 @@
+package experiment
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// NewCommand returns the command
+//
+//	trefoilline-standin experiment PLAN [--output table|json]
+//
+// which runs a plan against a fleet that is up. An interrupt ends the run early
+// and reports what was measured until then. It returns a [FieldError],
+// [FileError], [PlanError] or [OutputError].
+func NewCommand() *cobra.Command {
+	var o output
+	command := &cobra.Command{
+		Use:   "experiment PLAN",
+		Short: "Run a plan of load and faults against a fleet that is up",
+		Example: `  trefoilline-standin experiment examples/chalkline/experiment.json
+  trefoilline-standin experiment examples/chalkline/experiment.json --output json >a.json`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, args []string) error {
+			if err := o.check(); err != nil {
+				return err
+			}
+			report, err := runFile(command.Context(), args[0])
+			if err != nil {
+				return err
+			}
+			return o.write(command.OutOrStdout(), report)
+		},
+	}
+	o.addFlag(command)
+	return command
+}
+
+func runFile(ctx context.Context, path string) (*Report, error) {
+	plan, err := ReadPlan(path, os.LookupEnv)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	run := Run{
+		Plan: plan,
+	}
+	return run.Do(ctx), nil
+}
--- /dev/null
+++ b/internal/standin/experiment/inject.go
@@ -0,0 +1,47 @@
+package experiment
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const injectTimeout = 5 * time.Second
+
+// inject puts the plan's faults in force, each at its time.
+func (r *Run) inject(ctx context.Context) {
+	for i, f := range r.Plan.Faults {
+		if !r.waitUntil(ctx, time.Duration(f.At)) {
+			r.tally.FaultFailed(i, &CutShortError{})
+			continue
+		}
+		if err := r.post(ctx, f); err != nil {
+			r.tally.FaultFailed(i, err)
+		}
+	}
+}
+
+func (r *Run) post(ctx context.Context, f Fault) error {
+	bounded, cancel := context.WithTimeout(ctx, injectTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(bounded, f.Method, f.URL, strings.NewReader(f.Body))
+	if err != nil {
+		return err
+	}
+	client := r.Client
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return &StatusError{
+			Status: response.Status,
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/experiment/report.go
@@ -0,0 +1,188 @@
+package experiment
+
+import (
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// withinRate is the part of its rate up to which a team's refusals for its
+	// rate are wrongful.
+	withinRate = 0.9
+	// recoveredPart is the answered part of a second at which a fault is over.
+	recoveredPart = 0.99
+)
+
+// Report is what came of a run.
+type Report struct {
+	Name string `json:"name"`
+	Seed uint64 `json:"seed"`
+	// Length is how long requests were sent.
+	Length Duration `json:"length"`
+	// Partial is true if the run was ended before the plan's length.
+	Partial bool          `json:"partial"`
+	Total   Total         `json:"total"`
+	Teams   []TeamReport  `json:"teams"`
+	Faults  []FaultReport `json:"faults"`
+}
+
+// Total sums up all teams.
+type Total struct {
+	Sent             int `json:"sent"`
+	Answered         int `json:"answered"`
+	NotRun           int `json:"not-run"`
+	Unknown          int `json:"unknown"`
+	Unreached        int `json:"unreached"`
+	Withheld         int `json:"withheld"`
+	WrongfulRefusals int `json:"wrongful-refusals"`
+	// LowestAnswered is the team with the lowest answered part.
+	LowestAnswered     string  `json:"lowest-answered-team"`
+	LowestAnsweredPart float64 `json:"lowest-answered-part"`
+	// HighestP99 is the team with the highest 99th percentile.
+	HighestP99             string  `json:"highest-p99-team"`
+	HighestP99Milliseconds float64 `json:"highest-p99-ms"`
+}
+
+// TeamReport is what came of one team's requests.
+type TeamReport struct {
+	Team      string        `json:"team"`
+	Sent      int           `json:"sent"`
+	Answered  int           `json:"answered"`
+	NotRun    int           `json:"not-run"`
+	Reasons   []ReasonCount `json:"reasons"`
+	Unknown   int           `json:"unknown"`
+	Unreached int           `json:"unreached"`
+	// Withheld requests were due above the plan's bound and not sent.
+	Withheld int `json:"withheld"`
+	// WrongfulRefusals are refusals for the rate in a stretch in which the team
+	// sent at most 90% of it.
+	WrongfulRefusals int `json:"wrongful-refusals"`
+	// AnsweredPart is 1 for a team that sent nothing.
+	AnsweredPart float64 `json:"answered-part"`
+	// Latencies are those of answered requests, in milliseconds.
+	P50 float64 `json:"p50-ms"`
+	P90 float64 `json:"p90-ms"`
+	P99 float64 `json:"p99-ms"`
+	Max float64 `json:"max-ms"`
+}
+
+// ReasonCount counts the refusals with one reason.
+type ReasonCount struct {
+	Reason string `json:"reason"`
+	Count  int    `json:"count"`
+}
+
+// FaultReport is how the fleet took one fault.
+type FaultReport struct {
+	At   Duration `json:"at"`
+	URL  string   `json:"url"`
+	Body string   `json:"body"`
+	// Recovery lasts from the fault to the end of the last second, before the
+	// next fault, whose answered part is below 0.99; zero if there is none.
+	Recovery Duration `json:"recovery"`
+	// Recovered is false if the last whole second was still below.
+	Recovered bool `json:"recovered"`
+	// Failed tells why the fault did not come in force.
+	Failed string `json:"failed,omitempty"`
+}
+
+// Report works out the measures of what was counted so far.
+func (t *Tally) Report() *Report {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.init()
+	report := &Report{
+		Name:    t.Plan.Name,
+		Seed:    t.Plan.Seed,
+		Length:  Duration(t.length()),
+		Partial: t.cut != 0,
+	}
+	for i := range t.teams {
+		report.Teams = append(report.Teams, t.teamReport(i))
+	}
+	report.Total = sum(report.Teams)
+	for i := range t.Plan.Faults {
+		report.Faults = append(report.Faults, t.faultReport(i))
+	}
+	return report
+}
+
+func (t *Tally) teamReport(team int) TeamReport {
+	counted := &t.teams[team]
+	report := counted.report
+	report.Reasons = reasonCounts(counted.reasons)
+	report.AnsweredPart = part(report.Answered, report.Sent)
+	for _, surging := range []bool{false, true} {
+		if t.within(team, surging) {
+			report.WrongfulRefusals += counted.stretch(surging).overRate
+		}
+	}
+	report.P50 = quantile(counted.latencies, 50)
+	report.P90 = quantile(counted.latencies, 90)
+	report.P99 = quantile(counted.latencies, 99)
+	report.Max = quantile(counted.latencies, 100)
+	return report
+}
+
+// within tells whether a team sent at most 90% of its rate in a stretch.
+func (t *Tally) within(team int, surging bool) bool {
+	planned := t.Plan.Teams[team]
+	length := t.length()
+	calm := length
+	if planned.Surge != nil {
+		calm = min(length, time.Duration(planned.Surge.From))
+	}
+	seconds := calm.Seconds()
+	if surging {
+		seconds = (length - calm).Seconds()
+	}
+	sent := t.teams[team].stretch(surging).sent
+	return float64(sent) <= withinRate*planned.AllowedRate*seconds
+}
+
+func sum(teams []TeamReport) Total {
+	var total Total
+	for i, t := range teams {
+		total.Sent += t.Sent
+		total.Answered += t.Answered
+		total.NotRun += t.NotRun
+		total.Unknown += t.Unknown
+		total.Unreached += t.Unreached
+		total.Withheld += t.Withheld
+		total.WrongfulRefusals += t.WrongfulRefusals
+		if i == 0 || t.AnsweredPart < total.LowestAnsweredPart {
+			total.LowestAnswered = t.Team
+			total.LowestAnsweredPart = t.AnsweredPart
+		}
+		if i == 0 || t.P99 > total.HighestP99Milliseconds {
+			total.HighestP99 = t.Team
+			total.HighestP99Milliseconds = t.P99
+		}
+	}
+	return total
+}
+
+func part(answered, sent int) float64 {
+	if sent == 0 {
+		return 1
+	}
+	return float64(answered) / float64(sent)
+}
+
+func quantile(h *hdrhistogram.Histogram, percent float64) float64 {
+	return float64(h.ValueAtQuantile(percent)) / float64(time.Millisecond/time.Microsecond)
+}
+
+func reasonCounts(counts map[string]int) []ReasonCount {
+	list := make([]ReasonCount, 0, len(counts))
+	for r, n := range counts {
+		list = append(list, ReasonCount{
+			Reason: r,
+			Count:  n,
+		})
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Reason < list[j].Reason })
+	return list
+}
