--- a/internal/standin/experiment/report.go
+++ b/internal/standin/experiment/report.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"trefoilline.example/trefoilline/internal/standin/caller"
 )
 
 const (
@@ -68,10 +70,12 @@
 	Max float64 `json:"max-ms"`
 }
 
-// ReasonCount counts the refusals with one reason.
+// ReasonCount counts the requests that were not answered for one reason.
 type ReasonCount struct {
-	Reason string `json:"reason"`
-	Count  int    `json:"count"`
+	// Kind tells whether they were not run, unknown or unreached.
+	Kind   caller.Kind `json:"kind"`
+	Reason string      `json:"reason"`
+	Count  int         `json:"count"`
 }
 
 // FaultReport is how the fleet took one fault.
@@ -175,14 +179,20 @@
 	return float64(h.ValueAtQuantile(percent)) / float64(time.Millisecond/time.Microsecond)
 }
 
-func reasonCounts(counts map[string]int) []ReasonCount {
+func reasonCounts(counts map[reasonKey]int) []ReasonCount {
 	list := make([]ReasonCount, 0, len(counts))
 	for r, n := range counts {
 		list = append(list, ReasonCount{
-			Reason: r,
+			Kind:   r.kind,
+			Reason: r.reason,
 			Count:  n,
 		})
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Reason < list[j].Reason })
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Kind != list[j].Kind {
+			return list[i].Kind < list[j].Kind
+		}
+		return list[i].Reason < list[j].Reason
+	})
 	return list
 }
--- a/internal/standin/experiment/table.go
+++ b/internal/standin/experiment/table.go
@@ -63,13 +63,13 @@
 	return rows
 }
 
-func reasonHeader() []string { return []string{"team", "reason", "not-run"} }
+func reasonHeader() []string { return []string{"team", "kind", "reason", "count"} }
 
 func (r *Report) reasonRows() [][]string {
 	var rows [][]string
 	for _, t := range r.Teams {
 		for _, c := range t.Reasons {
-			rows = append(rows, []string{t.Team, c.Reason, strconv.Itoa(c.Count)})
+			rows = append(rows, []string{t.Team, string(c.Kind), c.Reason, strconv.Itoa(c.Count)})
 		}
 	}
 	return rows
--- a/internal/standin/experiment/tally.go
+++ b/internal/standin/experiment/tally.go
@@ -10,7 +10,12 @@
 	"trefoilline.example/trefoilline/internal/standin/caller"
 )
 
-const significantFigures = 3
+const (
+	significantFigures = 3
+	// maxReasons bounds the reasons that are told apart for each team.
+	maxReasons  = 24
+	otherReason = "other"
+)
 
 // Tally counts what came of the requests of a run. It needs a Plan and is safe
 // for use by several goroutines.
@@ -29,11 +34,17 @@
 type teamTally struct {
 	report    TeamReport
 	latencies *hdrhistogram.Histogram
-	reasons   map[string]int
+	reasons   map[reasonKey]int
 	calm      stretch
 	surge     stretch
 }
 
+// reasonKey is why a request was not answered.
+type reasonKey struct {
+	kind   caller.Kind
+	reason string
+}
+
 // stretch counts a team's requests before its surge or in it.
 type stretch struct {
 	sent     int
@@ -63,7 +74,7 @@
 	for i, team := range t.Plan.Teams {
 		t.teams[i].report.Team = team.Name
 		t.teams[i].latencies = hdrhistogram.New(1, maxTimeout.Microseconds(), significantFigures)
-		t.teams[i].reasons = make(map[string]int)
+		t.teams[i].reasons = make(map[reasonKey]int)
 	}
 	length := time.Duration(t.Plan.Length)
 	t.seconds = make([]secondTally, (length+time.Second-1)/time.Second)
@@ -119,6 +130,7 @@
 
 func (t *teamTally) count(result caller.Result) {
 	t.report.Sent++
+	t.countReason(result)
 	switch result.Kind {
 	case caller.Answered:
 		t.report.Answered++
@@ -126,7 +138,6 @@
 		_ = t.latencies.RecordValue(min(result.Latency, maxTimeout).Microseconds())
 	case caller.NotRun:
 		t.report.NotRun++
-		t.reasons[result.Reason]++
 	case caller.Unknown:
 		t.report.Unknown++
 	case caller.Unreached:
@@ -134,6 +145,22 @@
 	}
 }
 
+// countReason counts why a request was not answered. Errors of the transport
+// name ports, so that their number has to be bounded.
+func (t *teamTally) countReason(result caller.Result) {
+	if result.Kind == caller.Answered {
+		return
+	}
+	key := reasonKey{
+		kind:   result.Kind,
+		reason: result.Reason,
+	}
+	if _, known := t.reasons[key]; !known && len(t.reasons) >= maxReasons {
+		key.reason = otherReason
+	}
+	t.reasons[key]++
+}
+
 func (t *teamTally) stretch(surging bool) *stretch {
 	if surging {
 		return &t.surge
