--- a/cmd/trefoilline-standin/main.go
+++ b/cmd/trefoilline-standin/main.go
@@ -1,5 +1,6 @@
 // Trefoilline-standin runs small stand-ins of what an entry host meets: the
-// platform's store, a backend server, a caller.
+// platform's store, a backend server, a caller. It also runs experiments against
+// a fleet, and plays recorded traces.
 package main
 
 import (
@@ -9,6 +10,7 @@
 
 	"trefoilline.example/trefoilline/internal/standin/backend"
 	"trefoilline.example/trefoilline/internal/standin/caller"
+	"trefoilline.example/trefoilline/internal/standin/experiment"
 	"trefoilline.example/trefoilline/internal/standin/replay"
 	"trefoilline.example/trefoilline/internal/standin/store"
 )
@@ -19,7 +21,14 @@
 		Short:        "Stand in for the systems around trefoilline",
 		SilenceUsage: true,
 	}
-	root.AddCommand(store.NewCommand(), backend.NewCommand(), caller.NewCommand(), replay.NewCommand())
+	root.AddCommand(
+		store.NewCommand(),
+		backend.NewCommand(),
+		caller.NewCommand(),
+		experiment.NewCommand(),
+		experiment.NewCompareCommand(),
+		replay.NewCommand(),
+	)
 	if root.Execute() != nil {
 		os.Exit(1)
 	}
