Carry the fleet's messages and the table's parts by package peer

Cause: the daemon had a carrier and an object source of its own beside fleet/peer, with full headers and a request for each answer; callers were sent to hosts that cannot confirm their keys, also by those hosts themselves.

--- a/fleet/peer/objects.go
+++ b/fleet/peer/objects.go
@@ -18,7 +18,7 @@
 )
 
 // ObjectsPath is where hosts give each other immutable objects, by key.
-const ObjectsPath = "/fleet/objects/"
+const ObjectsPath = "/trefoilline/objects/"
 
 const (
 	// DefaultCacheSize is the bytes of values that [Objects] keeps if none is
--- a/fleet/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -39,7 +39,7 @@
 )
 
 // Path is where hosts take each other's messages.
-const Path = "/fleet"
+const Path = "/trefoilline/fleet"
 
 const (
 	// maxBody bounds what is read of one body, in bytes.
--- a/internal/command/hosts.go
+++ b/internal/command/hosts.go
@@ -14,6 +14,7 @@
 
 	trefoillinev1 "trefoilline.example/trefoilline/api/trefoilline/v1"
 	"trefoilline.example/trefoilline/api/trefoilline/v1/trefoillinev1connect"
+	"trefoilline.example/trefoilline/internal/secret"
 	"trefoilline.example/trefoilline/platform"
 )
 
@@ -38,8 +39,8 @@
 		hosts:   s.hosts,
 		timeout: s.timeout,
 		http: &http.Client{
-			Transport: &secretTransport{
-				secret: s.secret,
+			Transport: &secret.Transport{
+				Secret: s.secret,
 			},
 		},
 	}
--- a/internal/command/lookup.go
+++ b/internal/command/lookup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -66,7 +67,7 @@
 }
 
 func lookUp(ctx context.Context, host netip.AddrPort, client string) (lookupAnswer, error) {
-	service := trefoillinev1connect.NewLookUpServiceClient(hostHTTP, "http://"+host.String(), connect.WithProtoJSON())
+	service := trefoillinev1connect.NewLookUpServiceClient(http.DefaultClient, "http://"+host.String(), connect.WithProtoJSON())
 	response, err := service.LookUp(ctx, connect.NewRequest(&trefoillinev1.LookUpRequest{
 		ClientAddress: client,
 	}))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"trefoilline.example/trefoilline/entry"
 	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/fleet/peer"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
@@ -56,6 +57,8 @@
 	members  atomic.Pointer[[]fleet.Record]
 	reports  reports
 	peers    peers
+	exchange *peer.Exchange
+	objects  *peer.Objects
 
 	machines atomic.Pointer[machineList]
 	blocks   atomic.Pointer[steer.Blocks]
@@ -77,6 +80,7 @@
 		directory:   client,
 	}
 	d.wireFleet()
+	d.wireCarriers()
 	d.wireLimits()
 	d.wireSteering()
 	d.wireAdmission()
@@ -84,8 +88,8 @@
 	d.wireInvariants()
 	d.peers.host = settings.Host
 	d.peers.address = d.addressOf
-	d.peers.secret = settings.FleetSecret
 	d.peers.log = log
+	d.peers.client = d.fleetClient()
 	return d
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
+	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/fleet/peer"
+	"trefoilline.example/trefoilline/internal/secret"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
@@ -62,6 +65,36 @@
 	}
 }
 
+// wireCarriers sets up what carries the fleet's messages and the table's parts
+// between hosts.
+func (d *daemon) wireCarriers() {
+	d.exchange = &peer.Exchange{
+		Node: d.node,
+		HTTP: d.fleetClient(),
+		OnError: func(err error) {
+			d.log.Write(observe.PeerUnreached, zap.Error(err))
+		},
+	}
+	d.objects = &peer.Objects{
+		Store: d.store,
+		Node:  d.node,
+		HTTP:  d.fleetClient(),
+		Immutable: func(key string) bool {
+			return strings.HasPrefix(key, table.VersionPrefix) || strings.HasPrefix(key, table.PartPrefix)
+		},
+	}
+}
+
+// fleetClient returns a client for calls to other entry hosts.
+func (d *daemon) fleetClient() *http.Client {
+	return &http.Client{
+		Transport: &secret.Transport{
+			Secret: d.settings.FleetSecret,
+		},
+		Timeout: peerTimeout,
+	}
+}
+
 // startFleet starts what keeps the view of the fleet.
 func (d *daemon) startFleet(ctx context.Context, start func(func())) {
 	for _, f := range d.node.Feeds {
@@ -72,48 +105,22 @@
 		}
 		start(func() { reader.Run(ctx) })
 	}
-	start(func() { d.tickFleet(ctx) })
+	start(func() { d.exchange.Run(ctx) })
+	start(func() { d.followFleet(ctx) })
 	start(func() { d.followTable(ctx) })
 	start(func() { d.followPlan(ctx) })
 	start(func() { d.reportToPlanners(ctx) })
 }
 
-// tickFleet drives the view of the fleet and lets the other parts follow it.
-func (d *daemon) tickFleet(ctx context.Context) {
+// followFleet lets the other parts follow the view of the fleet.
+func (d *daemon) followFleet(ctx context.Context) {
 	for ctx.Err() == nil {
-		d.sendFleet(d.node.Tick())
 		d.followMembers()
 		d.takeKeys()
 		pause(ctx, d.node.Interval())
 	}
 }
 
-// sendFleet hands envelopes over for delivery.
-func (d *daemon) sendFleet(envelopes []fleet.Envelope) {
-	for _, e := range envelopes {
-		body, err := fleet.Encode(e.Message)
-		if err != nil {
-			d.log.Write(observe.PeerUnreached, zap.String("peer", e.To.Name), zap.Error(err))
-			continue
-		}
-		d.peers.send(e.To.Name, func(waiting *packet) {
-			waiting.Fleet = append(waiting.Fleet, json.RawMessage(body))
-		})
-	}
-}
-
-// receiveFleet takes the fleet's part of a packet.
-func (d *daemon) receiveFleet(bodies []json.RawMessage) error {
-	for _, body := range bodies {
-		message, err := fleet.Decode(body)
-		if err != nil {
-			return err
-		}
-		d.sendFleet(d.node.Receive(message))
-	}
-	return nil
-}
-
 // followMembers tells the limits and the look-ups who lives.
 func (d *daemon) followMembers() {
 	live := d.node.Live()
@@ -128,19 +135,26 @@
 		})
 	}
 	d.limits.SetLive(processes)
+	changed := d.followConfirmation()
 	if before := d.members.Load(); before == nil || !slices.Equal(*before, live) {
 		d.members.Store(&live)
 		d.pool.SetHosts(d.settings.Host, d.working())
+		changed = true
+	}
+	if changed {
 		d.refreshLookup()
 	}
 }
 
-// lookupHosts returns the entry hosts that callers may be sent to.
+// lookupHosts returns the entry hosts that callers may be sent to. A host that
+// cannot confirm its view of the keys counts as leaving in its own answers: it
+// refuses keyed requests.
 func (d *daemon) lookupHosts() []steer.Host {
 	members := d.members.Load()
 	if members == nil {
 		return nil
 	}
+	unconfirmed := d.node.Confirmation(keysFeed.Prefix) != nil
 	hosts := make([]steer.Host, 0, len(*members))
 	for _, r := range *members {
 		hosts = append(hosts, steer.Host{
@@ -148,7 +162,7 @@
 			Region:   r.Region,
 			Zone:     r.Zone,
 			Address:  r.Address,
-			Leaving:  r.Leaving,
+			Leaving:  r.Leaving || (unconfirmed && r.Name == d.settings.Host),
 			Headroom: 1,
 		})
 	}
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -25,6 +25,8 @@
 	// version is what the holder has of the fleet's feed.
 	version   atomic.Uint64
 	confirmed atomic.Bool
+	// shown is whether look-ups were last told that the view is confirmed.
+	shown atomic.Bool
 }
 
 // Verify returns the team of a key, or an [entry.KeysUnconfirmedError] while the
@@ -70,6 +72,15 @@
 	d.log.Write(observe.KeysUnconfirmed, zap.Duration("age", age))
 }
 
+// followConfirmation looks at the view of the keys, and reports whether it has
+// become confirmed or unconfirmed since it was last looked at here.
+func (d *daemon) followConfirmation() bool {
+	confirmed := d.node.Confirmation(keysFeed.Prefix) == nil
+	age, _ := d.node.ConfirmedAge(keysFeed.Prefix)
+	d.noteKeys(confirmed, age)
+	return d.keys.shown.Swap(confirmed) != confirmed
+}
+
 // pause waits, or returns early when the context ends.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/subtle"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -13,7 +12,6 @@
 
 	"go.uber.org/zap"
 
-	"trefoilline.example/trefoilline/header"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
@@ -35,8 +33,6 @@
 // packet is what one entry host sends another at once.
 type packet struct {
 	From string `json:"from"`
-	// Fleet holds messages of the view of the fleet.
-	Fleet []json.RawMessage `json:"fleet,omitempty"`
 	// Report is what the sender measured.
 	Report *steer.Report `json:"report,omitempty"`
 	// Losses are backend servers lost to requests.
@@ -46,7 +42,7 @@
 
 // size returns the number of messages.
 func (p packet) size() int {
-	count := len(p.Share) + len(p.Losses) + len(p.Fleet)
+	count := len(p.Share) + len(p.Losses)
 	if p.Report != nil {
 		count++
 	}
@@ -55,12 +51,11 @@
 
 // peers carries messages to other entry hosts. Messages may be lost.
 type peers struct {
-	host   string
-	secret string
-	log    observe.Log
+	host string
+	log  observe.Log
 	// address finds a host's address.
 	address func(host string) (netip.AddrPort, bool)
-	client  http.Client
+	client  *http.Client
 
 	mutex   sync.Mutex
 	context context.Context
@@ -79,7 +74,6 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.context = ctx
-	p.client.Timeout = peerTimeout
 }
 
 // sendShare hands envelopes over for delivery.
@@ -154,7 +148,6 @@
 		return err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(header.FleetSecret, p.secret)
 	response, err := p.client.Do(request)
 	if err != nil {
 		return err
@@ -178,10 +171,6 @@
 		http.Error(w, "not a packet: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	if err := d.receiveFleet(in.Fleet); err != nil {
-		http.Error(w, "not a packet: "+err.Error(), http.StatusBadRequest)
-		return
-	}
 	if in.Report != nil {
 		d.reports.take(*in.Report)
 	}
@@ -196,15 +185,3 @@
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
-
-// guarded lets only holders of the fleet's secret pass.
-func (d *daemon) guarded(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		shown := r.Header.Get(header.FleetSecret)
-		if subtle.ConstantTimeCompare([]byte(shown), []byte(d.settings.FleetSecret)) != 1 {
-			http.Error(w, "the fleet secret is missing or wrong", http.StatusForbidden)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -12,6 +12,8 @@
 
 	"trefoilline.example/trefoilline/api/trefoilline/v1/trefoillinev1connect"
 	"trefoilline.example/trefoilline/backend"
+	"trefoilline.example/trefoilline/fleet/peer"
+	"trefoilline.example/trefoilline/internal/secret"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/share"
 )
@@ -91,12 +93,18 @@
 	}, connect.WithReadMaxBytes(maxPacket))
 	mux.Handle(path, d.guarded(fleetService))
 	mux.Handle("POST "+peerPath, d.guarded(http.HandlerFunc(d.receivePacket)))
-	mux.Handle("GET "+tablePath, d.guarded(http.HandlerFunc(d.writeObject)))
+	mux.Handle(peer.Path, d.guarded(d.exchange))
+	mux.Handle(peer.ObjectsPath, d.guarded(d.objects))
 	mux.Handle("GET /trefoilline/measures", d.guarded(http.HandlerFunc(d.writeMeasures)))
 	mux.Handle("/", d.handler)
 	return mux
 }
 
+// guarded lets only those pass who show the fleet's secret.
+func (d *daemon) guarded(next http.Handler) http.Handler {
+	return secret.Guard(d.settings.FleetSecret, next)
+}
+
 func (d *daemon) writeMeasures(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	d.measures.WriteJSON(w)
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -30,7 +30,7 @@
 	if err != nil || head.Version <= d.tables.Version() {
 		return err
 	}
-	snapshot, err := d.reader.LoadHead(ctx, d.tableSource(ctx), head)
+	snapshot, err := d.reader.LoadHead(ctx, d.objects, head)
 	if err != nil {
 		return err
 	}
