--- a/internal/command/key_withdraw.go
+++ b/internal/command/key_withdraw.go
@@ -102,6 +102,7 @@
 		newest = max(newest, object.Version)
 	}
 	if !wait.wanted {
+		fmt.Fprintln(c.ErrOrStderr(), "written to the store; --wait tells when every entry host has it")
 		return nil
 	}
 	return wait.until(c, "the withdrawal", func(s hostStatus) bool {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,12 @@
 	"trefoilline.example/trefoilline/ticket"
 )
 
+// What one host may ask of the store, in calls per second.
+const (
+	storeReads  = 100
+	storeWrites = 50
+)
+
 // daemon is one run of an entry host.
 type daemon struct {
 	settings    Settings
@@ -43,42 +49,43 @@
 	tables table.Follower
 	keys   keys
 
-	pool     *backend.Pool
-	router   *steer.Router
-	plan     atomic.Pointer[steer.Plan]
-	limits   *share.Holder
-	keeper   *share.Keeper
-	client   *exchange.Client
-	desk     *admission.Desk
-	register *ticket.Register
-	suspects *suspect.List
-	handler  *entry.Handler
-	node     *fleet.Node
-	members  atomic.Pointer[[]fleet.Record]
-	reports  reports
-	peers    peers
-	exchange *peer.Exchange
-	objects  *peer.Objects
+	pool   *backend.Pool
+	router *steer.Router
+	plan   atomic.Pointer[steer.Plan]
+	limits *share.Holder
+	keeper *share.Keeper
+	// limitFaults is how many broken invariants of the limits were reported.
+	limitFaults uint64
+	client      *exchange.Client
+	claims      *ticket.Claims
+	desk        *admission.Desk
+	register    *ticket.Register
+	suspects    *suspect.List
+	handler     *entry.Handler
+	node        *fleet.Node
+	members     atomic.Pointer[[]fleet.Record]
+	reports     reports
+	peers       peers
+	exchange    *peer.Exchange
+	objects     *peer.Objects
 
 	machines atomic.Pointer[machineList]
 	blocks   atomic.Pointer[steer.Blocks]
 	lookup   atomic.Pointer[steer.Lookup]
 	leaving  atomic.Bool
+	// swept is when this host last swept the claims.
+	swept time.Time
 }
 
 // newDaemon wires the parts; nothing runs yet.
 func newDaemon(settings Settings, log observe.Log) *daemon {
-	client := &platform.Client{
-		Base: settings.Store,
-	}
 	d := &daemon{
 		settings:    settings,
 		incarnation: uint64(time.Now().UnixMilli()),
 		log:         log,
 		measures:    &observe.Measures{},
-		store:       client,
-		directory:   client,
 	}
+	d.wireStore()
 	d.wireFleet()
 	d.wireCarriers()
 	d.wireLimits()
@@ -93,6 +100,28 @@
 	return d
 }
 
+// wireStore sets up the platform's client with a budget of calls, so that a
+// fault of one host cannot use up what the platform serves all of them.
+func (d *daemon) wireStore() {
+	client := &platform.Client{
+		Base: d.settings.Store,
+	}
+	budgeted := &platform.Budgeted{
+		Store:     client,
+		Directory: client,
+		Reads: platform.CallRate{
+			PerSecond: storeReads,
+			Burst:     2 * storeReads,
+		},
+		Writes: platform.CallRate{
+			PerSecond: storeWrites,
+			Burst:     2 * storeWrites,
+		},
+	}
+	d.store = budgeted
+	d.directory = budgeted
+}
+
 func (d *daemon) wireLimits() {
 	d.limits = &share.Holder{
 		Host:        d.settings.Host,
@@ -126,13 +155,14 @@
 		Host:     d.settings.Listen,
 		Validity: d.settings.LookUpValidity,
 	}
+	d.claims = &ticket.Claims{
+		Store: d.store,
+	}
 	d.desk = &admission.Desk{
 		Register: d.register,
-		Claims: &ticket.Claims{
-			Store: d.store,
-		},
-		Send:   d.client.Send,
-		IsHost: d.isEntryHost,
+		Claims:   d.claims,
+		Send:     d.client.Send,
+		IsHost:   d.isEntryHost,
 	}
 	d.suspects = &suspect.List{
 		Share:   d.shareLoss,
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"strconv"
 	"time"
 
 	"trefoilline.example/trefoilline/entry"
@@ -33,6 +34,10 @@
 	status := d.limits.Status()
 	d.measures.Gauge("limits/epoch", int64(status.Epoch))
 	d.measures.Gauge("limits/holders", int64(status.Holders))
+	if found := d.limits.Violations(); found > d.limitFaults {
+		d.limitFaults = found
+		d.violated("limits", strconv.FormatUint(found, 10))
+	}
 	snapshot := d.tables.Current()
 	if snapshot == nil {
 		return
--- a/internal/daemon/plan.go
+++ b/internal/daemon/plan.go
@@ -84,6 +84,7 @@
 	if err != nil {
 		return err
 	}
+	d.sweepClaims(ctx)
 	err = writer.fence.Write(ctx, func(last []byte) ([]byte, error) {
 		return nextPlan(last, snapshot.Table, d.measurements(), time.Now())
 	})
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -102,7 +102,7 @@
 
 // violations counts the broken invariants of all parts.
 func (d *daemon) violations() uint64 {
-	return d.measures.Violations() + d.limits.Violations()
+	return d.measures.Violations()
 }
 
 func (d *daemon) teamStatus() []*trefoillinev1.TeamStatus {
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -15,7 +15,7 @@
 			"incarnation",
 			"address",
 		},
-		Cause:  "The daemon listens and has loaded a table.",
+		Cause:  "The daemon listens; it takes requests once it has a table.",
 		Action: "None.",
 	}
 	LeavingStarted = Event{
@@ -206,6 +206,17 @@
 		Cause:  "A backend server broke the connection of a request and answers no more; after two such servers the request is refused.",
 		Action: "Find what in the request crashes the backend server; the sender's other requests go on.",
 	}
+	ClaimsSwept = Event{
+		Number: 304,
+		Name:   "claims-swept",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"removed",
+			"error",
+		},
+		Cause:  "This host removed old claims, of requests under keys that callers chose, from the store.",
+		Action: "None; with an error, the next sweep removes the rest.",
+	}
 	InvariantBroken = Event{
 		Number: 900,
 		Name:   "invariant-broken",
@@ -236,6 +247,7 @@
 		MachinesUnreadable,
 		AllocationUnwritten,
 		PlanUnwritten,
+		ClaimsSwept,
 		RequestRefused,
 		RequestUnknown,
 		AnswerBroken,
