Count latency from when a request was due, and name files in comparisons

Cause: latency ran from the sending, so a sender that fell behind hid its lag; `compare` printed the same plan name for both runs.

--- a/internal/standin/experiment/command_compare.go
+++ b/internal/standin/experiment/command_compare.go
@@ -27,7 +27,10 @@
 			if err != nil {
 				return err
 			}
-			return o.write(command.OutOrStdout(), Compare(a, b))
+			comparison := Compare(a, b)
+			comparison.A = args[0]
+			comparison.B = args[1]
+			return o.write(command.OutOrStdout(), comparison)
 		},
 	}
 	o.addFlag(command)
--- a/internal/standin/experiment/compare.go
+++ b/internal/standin/experiment/compare.go
@@ -9,6 +9,7 @@
 
 // Comparison sets the measures of two runs side by side.
 type Comparison struct {
+	// A and B are the names of the runs, or of their files.
 	A    string `json:"a"`
 	B    string `json:"b"`
 	Rows []Row  `json:"rows"`
--- a/internal/standin/experiment/report.go
+++ b/internal/standin/experiment/report.go
@@ -63,7 +63,8 @@
 	WrongfulRefusals int `json:"wrongful-refusals"`
 	// AnsweredPart is 1 for a team that sent nothing.
 	AnsweredPart float64 `json:"answered-part"`
-	// Latencies are those of answered requests, in milliseconds.
+	// Latencies are those of answered requests, from when each was due, in
+	// milliseconds.
 	P50 float64 `json:"p50-ms"`
 	P90 float64 `json:"p90-ms"`
 	P99 float64 `json:"p99-ms"`
--- a/internal/standin/experiment/run.go
+++ b/internal/standin/experiment/run.go
@@ -84,7 +84,10 @@
 	}
 	r.group.Go(func() {
 		defer func() { <-r.open }()
-		r.tally.Record(a, r.send(ctx, a))
+		result := r.send(ctx, a)
+		// Counted from when it was due, so that a late sender hides nothing.
+		result.Latency = time.Since(r.start.Add(a.At))
+		r.tally.Record(a, result)
 	})
 }
 
