--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,6 +42,7 @@
 	log         observe.Log
 	measures    *observe.Measures
 
+	budget    *platform.Budgeted
 	store     platform.Store
 	directory platform.Directory
 
@@ -118,6 +119,7 @@
 			Burst:     2 * storeWrites,
 		},
 	}
+	d.budget = budgeted
 	d.store = budgeted
 	d.directory = budgeted
 }
--- /dev/null
+++ b/internal/daemon/gauges.go
@@ -0,0 +1,46 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/table"
+)
+
+// gaugePeriod is the time between two readings of the gauges.
+const gaugePeriod = time.Second
+
+// readGauges keeps the gauges of the measures up to date until the context ends.
+func (d *daemon) readGauges(ctx context.Context) {
+	for ctx.Err() == nil {
+		d.gaugeCalls(d.budget.Sent(), d.budget.Refused())
+		d.measures.Gauge("requests/running", int64(d.handler.Running()))
+		if plan := d.plan.Load(); plan != nil {
+			d.measures.Gauge("plan/step", int64(plan.Step))
+		}
+		if snapshot := d.tables.Current(); snapshot != nil {
+			d.measures.Gauge("table/version", int64(snapshot.Head.Version))
+			d.gaugeHeadroom(&snapshot.Table)
+		}
+		pause(ctx, gaugePeriod)
+	}
+}
+
+// gaugeCalls shows the calls to the store since the start.
+func (d *daemon) gaugeCalls(sent, refused platform.Calls) {
+	d.measures.Gauge("store-calls/reads", int64(sent.Reads()))
+	d.measures.Gauge("store-calls/writes", int64(sent.Writes()))
+	d.measures.Gauge("store-calls/over-budget", int64(refused.Reads()+refused.Writes()))
+}
+
+// gaugeHeadroom shows the use and the slots of each service in each region, as
+// this host sees them.
+func (d *daemon) gaugeHeadroom(current *table.Table) {
+	for _, p := range d.places(current) {
+		headroom := d.pool.Headroom(p.service, p.region)
+		name := p.service + "/" + p.region
+		d.measures.Gauge("headroom/running/"+name, int64(headroom.Running))
+		d.measures.Gauge("headroom/slots/"+name, int64(headroom.Slots))
+	}
+}
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -17,12 +18,13 @@
 	d.node.Leave()
 	d.limits.Leave()
 
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainLimit)
 	defer cancel()
 	pause(ctx, d.settings.LookUpValidity)
 	err := server.Shutdown(ctx)
 	cut := d.handler.Running()
-	d.log.Write(observe.Stopped, zap.Int("cut", cut))
+	d.log.Write(observe.Stopped, zap.Int("cut", cut), zap.Duration("drain-time", time.Since(begun)))
 	if err != nil {
 		return server.Close()
 	}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -70,6 +70,7 @@
 	loops.Go(func() { d.followMachines(ctx) })
 	d.startFleet(ctx, loops.Go)
 	loops.Go(func() { d.writePlan(ctx) })
+	loops.Go(func() { d.readGauges(ctx) })
 	loops.Go(func() { d.tickLimits(ctx) })
 	loops.Go(func() { d.refreshAllocation(ctx) })
 	prober := &backend.Prober{
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -34,6 +34,7 @@
 		Level:  zapcore.InfoLevel,
 		Fields: []string{
 			"cut",
+			"drain-time",
 		},
 		Cause:  "The daemon has stopped; cut counts the requests that were still running.",
 		Action: "If cut is above zero, raise --drain-limit: some requests run longer.",
