Count runs by order and not by the name of a sending in the scenario of orders

Change: each order carries a number in a header, its body stays equal to the others'; runs are counted, and "not run" and "answered" are held, by that number. The check is stricter. The field call.table, which nothing used, is gone.

--- a/entry/call.go
+++ b/entry/call.go
@@ -27,7 +27,6 @@
 	name     string
 	start    time.Time
 	route    table.Route
-	table    *table.Table
 	key      string
 	team     string
 	ctx      context.Context
@@ -100,7 +99,6 @@
 		}
 	}
 	c.route = route
-	c.table = routes.table
 	return nil
 }
 
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -20,6 +20,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -46,6 +47,8 @@
 	// Path may carry a query.
 	Path string
 	Body []byte
+	// Header goes along with every sending; it may be nil.
+	Header http.Header
 	// Ticket asks for a name, so that the request may be sent again.
 	Ticket bool
 }
@@ -225,6 +228,7 @@
 			Reason: err.Error(),
 		}
 	}
+	maps.Copy(sent.Header, request.Header)
 	if c.Key != "" {
 		sent.Header.Set(header.Key, c.Key)
 	}
--- a/scenario/once_test.go
+++ b/scenario/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -21,6 +22,9 @@
 	killAfter  = 120
 	dropAfter  = 240
 
+	// orderHeader carries the number of an order.
+	orderHeader = "X-Order"
+
 	stopSignal = syscall.SIGTERM
 	poison     = backendstandin.PoisonParameter + "=1"
 )
@@ -32,7 +36,7 @@
 	w := newWorld(t, 5)
 	key, _ := w.issueKey("bright-start")
 	c := w.caller(key)
-	results := make(chan caller.Result, orderCount)
+	results := make(chan orderResult, orderCount)
 	limiter := rate.NewLimiter(orderRate, 1)
 	var group sync.WaitGroup
 	for n := range orderCount {
@@ -49,12 +53,21 @@
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(t.Context(), patience)
 			defer cancel()
-			results <- c.Send(ctx, caller.Request{
-				Method: http.MethodPost,
-				Path:   "/orders",
-				Body:   []byte("chalk"),
-				Ticket: true,
-			})
+			number := strconv.Itoa(n)
+			results <- orderResult{
+				number: number,
+				Result: c.Send(ctx, caller.Request{
+					Method: http.MethodPost,
+					Path:   "/orders",
+					Body:   []byte("chalk"),
+					Header: http.Header{
+						orderHeader: []string{
+							number,
+						},
+					},
+					Ticket: true,
+				}),
+			}
 		})
 	}
 	group.Wait()
@@ -63,12 +76,22 @@
 	w.requireSound(w.hosts[1:]...)
 }
 
-// requireOnce holds what callers were told against what backend servers ran.
-func requireOnce(t *testing.T, w *world, results <-chan caller.Result) {
+// orderResult is what a caller was told of one order.
+type orderResult struct {
+	caller.Result
+	number string
+}
+
+// requireOnce holds what callers were told against what backend servers ran. It
+// knows an order by its number, which stays the same however often and under
+// whichever name it is sent.
+func requireOnce(t *testing.T, w *world, results <-chan orderResult) {
 	runs := make(map[string]int)
 	for _, s := range w.servers {
-		for name, count := range w.record(s).Runs {
-			runs[name] += count
+		for _, e := range w.record(s).Entries {
+			if number := e.Header.Get(orderHeader); e.Ran && number != "" {
+				runs[number]++
+			}
 		}
 	}
 	kinds := make(map[caller.Kind]int)
@@ -76,18 +99,17 @@
 	for r := range results {
 		kinds[r.Kind]++
 		reasons[r.Reason]++
-		name := r.Header.Get("Trefoilline-Request")
-		if r.Kind == caller.NotRun {
-			require.Zero(t, runs[name], "said not run: %s", r.Reason)
-		}
-		if r.Kind == caller.Answered {
-			require.Equal(t, 1, runs[name])
+		switch r.Kind {
+		case caller.NotRun, caller.Unreached:
+			require.Zero(t, runs[r.number], "order %s said not run: %s", r.number, r.Reason)
+		case caller.Answered:
+			require.Equal(t, 1, runs[r.number], "order %s", r.number)
 		}
 	}
-	for name, count := range runs {
-		require.Equal(t, 1, count, name)
-	}
 	t.Logf("orders: %v, runs: %d, reasons: %v", kinds, len(runs), reasons)
+	for number, count := range runs {
+		require.Equal(t, 1, count, "order %s", number)
+	}
 	require.Positive(t, kinds[caller.Unknown], "the faults must have hit orders")
 	require.Greater(t, kinds[caller.Answered], orderCount*4/5)
 }
