--- a/backend/herd_test.go
+++ b/backend/herd_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/backend"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 const (
@@ -29,7 +29,7 @@
 type herd struct {
 	clock    clock
 	random   *rand.Rand
-	machines []platform.Machine
+	machines []objectstore.Machine
 	running  map[string]int
 	reports  map[string]int
 	pools    []*backend.Pool
@@ -65,7 +65,7 @@
 	return last
 }
 
-func newHerd(servers []platform.Machine, seed uint64, homes bool) *herd {
+func newHerd(servers []objectstore.Machine, seed uint64, homes bool) *herd {
 	h := &herd{
 		clock: clock{
 			now: time.Unix(1_000_000, 0),
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Pool is the backend servers as this host sees them. The zero value is ready
@@ -54,13 +54,13 @@
 // SetMachines takes a new list of the platform. A server that is no longer
 // listed gets no new work; its running requests finish. Servers that join
 // after the first list are warmed.
-func (p *Pool) SetMachines(machines []platform.Machine) {
+func (p *Pool) SetMachines(machines []objectstore.Machine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	listed := make(map[string]bool, len(machines))
 	for _, m := range machines {
-		if m.Kind != platform.BackendServer {
+		if m.Kind != objectstore.BackendServer {
 			continue
 		}
 		listed[m.Name] = true
@@ -91,7 +91,7 @@
 }
 
 // setMachine updates or adds a listed server.
-func (p *Pool) setMachine(m platform.Machine, now time.Time) {
+func (p *Pool) setMachine(m objectstore.Machine, now time.Time) {
 	if p.servers == nil {
 		p.servers = make(map[string]*server)
 	}
@@ -101,7 +101,7 @@
 		p.servers[m.Name] = s
 	}
 	s.machine = m
-	s.listedLeaving = m.State == platform.Leaving
+	s.listedLeaving = m.State == objectstore.Leaving
 	s.updateLeaving(now)
 }
 
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -10,20 +10,20 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/backend"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // servers lists count backend servers of a service in a region.
-func servers(service, region string, count int) []platform.Machine {
-	machines := make([]platform.Machine, 0, count)
+func servers(service, region string, count int) []objectstore.Machine {
+	machines := make([]objectstore.Machine, 0, count)
 	for i := range count {
-		machines = append(machines, platform.Machine{
+		machines = append(machines, objectstore.Machine{
 			Name:    fmt.Sprintf("%s-%s-%d", service, region, i),
-			Kind:    platform.BackendServer,
+			Kind:    objectstore.BackendServer,
 			Region:  region,
 			Zone:    fmt.Sprintf("%s-%d", region, i%2),
 			Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(7000+i)),
-			State:   platform.Live,
+			State:   objectstore.Live,
 			Service: service,
 			Slots:   4,
 		})
@@ -40,7 +40,7 @@
 
 func (c *clock) pass(d time.Duration) { c.now = c.now.Add(d) }
 
-func newPool(machines []platform.Machine) (*backend.Pool, *clock) {
+func newPool(machines []objectstore.Machine) (*backend.Pool, *clock) {
 	c := &clock{
 		now: time.Unix(1_000_000, 0),
 	}
--- a/backend/server.go
+++ b/backend/server.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // State says whether a server may get new work.
@@ -19,7 +19,7 @@
 
 // server is a backend server and what this host knows of it.
 type server struct {
-	machine platform.Machine
+	machine objectstore.Machine
 	// since is when the server began to warm; zero if it is warm.
 	since time.Time
 	// leavingSince is when this host learned that the server leaves.
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -17,8 +17,8 @@
 	"trefoilline.example/trefoilline/header"
 	standin "trefoilline.example/trefoilline/internal/standin/backend"
 	"trefoilline.example/trefoilline/internal/standin/store"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
-	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
@@ -108,14 +108,14 @@
 	plan, _ := steer.Next(steer.Plan{}, current, steer.Measurements{}, time.Now())
 	router.SetPlan(plan)
 	pool := &backend.Pool{}
-	pool.SetMachines([]platform.Machine{
+	pool.SetMachines([]objectstore.Machine{
 		{
 			Name:    "server",
-			Kind:    platform.BackendServer,
+			Kind:    objectstore.BackendServer,
 			Region:  "accra",
 			Service: "storefront",
 			Slots:   64,
-			State:   platform.Live,
+			State:   objectstore.Live,
 			Address: netip.MustParseAddrPort(behind.Listener.Addr().String()),
 		},
 	})
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Feed is a part of the store that the fleet follows.
@@ -25,13 +25,13 @@
 	name string
 	// bounded is set for a confirmed feed.
 	bounded bool
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	// version is the highest of any object; all changes up to it are held.
-	version platform.Version
+	version objectstore.Version
 	// viewed is the highest version that a query has handed out.
-	viewed platform.Version
+	viewed objectstore.Version
 	// announced is the highest version that anybody is known to have.
-	announced platform.Version
+	announced objectstore.Version
 	// held is set once a whole view was taken in.
 	held bool
 	// confirmed is a time at which the view was the store's newest.
@@ -46,7 +46,7 @@
 	ready bool
 	// requested is when which version was last asked for.
 	requested        time.Duration
-	requestedVersion platform.Version
+	requestedVersion objectstore.Version
 	// retry is when a host that isn't a reader may try the store next.
 	retry time.Duration
 	// cut is set while the host learned from doesn't reach the store.
@@ -57,7 +57,7 @@
 	return &feed{
 		name:      source.Prefix,
 		bounded:   source.Head != "",
-		objects:   make(map[string]platform.Object),
+		objects:   make(map[string]objectstore.Object),
 		confirmed: never,
 		tried:     never,
 		answered:  never,
@@ -76,7 +76,7 @@
 }
 
 // apply takes changes in. A key at the same or a higher version stays.
-func (f *feed) apply(objects []platform.Object) {
+func (f *feed) apply(objects []objectstore.Object) {
 	for _, object := range objects {
 		if object.Version <= f.objects[object.Key].Version {
 			continue
@@ -89,23 +89,23 @@
 }
 
 // changes returns the objects after a version, in version order.
-func (f *feed) changes(after platform.Version) []platform.Object {
+func (f *feed) changes(after objectstore.Version) []objectstore.Object {
 	if after >= f.version {
 		return nil
 	}
-	var found []platform.Object
+	var found []objectstore.Object
 	for _, object := range f.objects {
 		if object.Version > after {
 			found = append(found, object)
 		}
 	}
-	slices.SortFunc(found, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(found, func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return found
 }
 
 // confirm notes that the view at the version was the newest at a time. It
 // says nothing of a view at another version, or while a newer one is known.
-func (f *feed) confirm(version platform.Version, at time.Duration) {
+func (f *feed) confirm(version objectstore.Version, at time.Duration) {
 	if version == f.version && f.version >= f.announced {
 		f.confirmed = max(f.confirmed, at)
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/fleet"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // settleBound is how long a fleet whose hosts all start at once may take to find
@@ -59,7 +59,7 @@
 		require.False(t, h.node.IsLeaving(restarted.Name))
 		require.Zero(t, h.node.Violations())
 	}
-	w.list(killed, platform.Live)
+	w.list(killed, objectstore.Live)
 	w.boot(killed, fleet.Settings{})
 	w.run(20 * time.Second)
 	for _, h := range w.hosts {
--- a/fleet/keys_test.go
+++ b/fleet/keys_test.go
@@ -9,7 +9,7 @@
 
 	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 const (
@@ -68,7 +68,7 @@
 // running hosts of two zones hold it: the operator is told so no sooner, since
 // a write that nobody read before the store went down is known to nobody.
 type withdrawal struct {
-	version  platform.Version
+	version  objectstore.Version
 	written  time.Duration
 	accepted bool
 }
@@ -144,7 +144,7 @@
 
 // longestLife returns how long ago the oldest accepted withdrawal was written
 // that the version lacks.
-func (r *trial) longestLife(held platform.Version) time.Duration {
+func (r *trial) longestLife(held objectstore.Version) time.Duration {
 	for _, key := range r.withdrawn {
 		if held < key.version && key.accepted {
 			return r.now() - key.written
--- a/fleet/message.go
+++ b/fleet/message.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Message is what nodes send each other.
@@ -49,7 +49,7 @@
 
 // FeedStatus is how far a host's view of a feed goes.
 type FeedStatus struct {
-	Version platform.Version `json:"version"`
+	Version objectstore.Version `json:"version"`
 	// Age is the milliseconds since the view was confirmed; -1 for never.
 	Age int64 `json:"age"`
 	// Cut is set while the sender, or the host that it polls, doesn't reach the
@@ -90,16 +90,16 @@
 // FeedRequest asks for what changed in a feed after a version.
 type FeedRequest struct {
 	Header
-	Feed  string           `json:"feed"`
-	After platform.Version `json:"after"`
+	Feed  string              `json:"feed"`
+	After objectstore.Version `json:"after"`
 }
 
 // FeedReply answers a [FeedRequest] with all changes up to the version.
 type FeedReply struct {
 	Header
-	Feed    string            `json:"feed"`
-	Status  FeedStatus        `json:"status"`
-	Objects []platform.Object `json:"objects"`
+	Feed    string               `json:"feed"`
+	Status  FeedStatus           `json:"status"`
+	Objects []objectstore.Object `json:"objects"`
 }
 
 // MessageError reports bytes that are no message.
--- a/fleet/peer/objects.go
+++ b/fleet/peer/objects.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"trefoilline.example/trefoilline/fleet"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // ObjectsPath is where hosts give each other immutable objects, by key.
@@ -31,7 +31,7 @@
 	hopsHeader = "Fleet-Hops"
 )
 
-// Objects is a [platform.Store] that gets immutable objects from the hosts that
+// Objects is a [objectstore.Store] that gets immutable objects from the hosts that
 // the node learns from, and from the store only if they don't have them, so
 // that the store is read by each zone's readers and not by each host. All other
 // calls go to the store. Its handler serves [ObjectsPath].
@@ -39,7 +39,7 @@
 // Store, Node and Immutable are set before first use; it is safe for
 // concurrent use.
 type Objects struct {
-	platform.Store
+	objectstore.Store
 	Node *fleet.Node
 	// Immutable tells whether the object under the key never changes once it is
 	// written.
@@ -57,8 +57,8 @@
 	size  int
 }
 
-// Get implements [platform.Store].
-func (o *Objects) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements [objectstore.Store].
+func (o *Objects) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	if !o.Immutable(key) {
 		return o.Store.Get(ctx, key)
 	}
@@ -66,7 +66,7 @@
 }
 
 // get asks once for all callers that want the object now.
-func (o *Objects) get(ctx context.Context, key string, hops int) (platform.Object, error) {
+func (o *Objects) get(ctx context.Context, key string, hops int) (objectstore.Object, error) {
 	if object, ok := o.cached(key); ok {
 		return object, nil
 	}
@@ -74,12 +74,12 @@
 		// A caller that gives up must not fail the others that wait.
 		return o.fetch(context.WithoutCancel(ctx), key, hops)
 	})
-	object, _ := found.(platform.Object)
+	object, _ := found.(objectstore.Object)
 	return object, err
 }
 
 // fetch asks the peers and then the store.
-func (o *Objects) fetch(ctx context.Context, key string, hops int) (platform.Object, error) {
+func (o *Objects) fetch(ctx context.Context, key string, hops int) (objectstore.Object, error) {
 	if hops < maxHops {
 		for _, host := range o.Node.Sources() {
 			if object, err := o.ask(ctx, host, key, hops); err == nil {
@@ -96,26 +96,26 @@
 }
 
 // ask gets the object from a peer.
-func (o *Objects) ask(ctx context.Context, host fleet.Host, key string, hops int) (platform.Object, error) {
+func (o *Objects) ask(ctx context.Context, host fleet.Host, key string, hops int) (objectstore.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	target := "http://" + host.Address.String() + ObjectsPath + key
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	request.Header.Set(hopsHeader, strconv.Itoa(hops+1))
 	response, err := o.client().Do(request)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
-		return platform.Object{}, &StatusError{
+		return objectstore.Object{}, &StatusError{
 			Status: response.StatusCode,
 		}
 	}
-	var object platform.Object
+	var object objectstore.Object
 	err = json.NewDecoder(io.LimitReader(response.Body, maxBody)).Decode(&object)
 	if err == nil && object.Key != key {
 		err = &WrongObjectError{
@@ -152,19 +152,19 @@
 }
 
 // cached returns an object that is kept here.
-func (o *Objects) cached(key string) (platform.Object, bool) {
+func (o *Objects) cached(key string) (objectstore.Object, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	element := o.held[key]
 	if element == nil {
-		return platform.Object{}, false
+		return objectstore.Object{}, false
 	}
 	o.order.MoveToFront(element)
-	return element.Value.(platform.Object), true
+	return element.Value.(objectstore.Object), true
 }
 
 // keep puts an object into the cache and drops the least used beyond its size.
-func (o *Objects) keep(object platform.Object) {
+func (o *Objects) keep(object objectstore.Object) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.held == nil {
@@ -180,7 +180,7 @@
 		limit = DefaultCacheSize
 	}
 	for o.size > limit && o.order.Len() > 1 {
-		last := o.order.Remove(o.order.Back()).(platform.Object)
+		last := o.order.Remove(o.order.Back()).(objectstore.Object)
 		delete(o.held, last.Key)
 		o.size -= len(last.Value)
 	}
--- a/fleet/peer/peer_test.go
+++ b/fleet/peer/peer_test.go
@@ -19,7 +19,7 @@
 	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/fleet/peer"
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // served is a node behind a server on loopback.
@@ -66,9 +66,9 @@
 	objects.Node = exchange.Node
 	server.Start()
 	t.Cleanup(server.Close)
-	memory.Register(platform.Machine{
+	memory.Register(objectstore.Machine{
 		Name:    name,
-		Kind:    platform.EntryHost,
+		Kind:    objectstore.EntryHost,
 		Region:  "accra",
 		Zone:    zone,
 		Address: address,
@@ -143,7 +143,7 @@
 	}
 	require.Equal(t, uint64(1), memory.Calls().Get)
 	_, err = hosts[0].objects.Get(t.Context(), "table/head")
-	require.ErrorAs(t, err, new(*platform.NotFoundError))
+	require.ErrorAs(t, err, new(*objectstore.NotFoundError))
 }
 
 func TestMalformedMessagesAreRefused(t *testing.T) {
--- a/fleet/queries.go
+++ b/fleet/queries.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Interval returns the time between ticks.
@@ -98,7 +98,7 @@
 }
 
 // Version returns the version of the feed that is held here.
-func (n *Node) Version(name string) platform.Version {
+func (n *Node) Version(name string) objectstore.Version {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.now()
@@ -112,15 +112,15 @@
 // Changes returns the objects of the feed after a version, removed ones
 // included, in version order, and the version to continue from. From zero it
 // returns the whole view.
-func (n *Node) Changes(name string, after platform.Version) platform.Changes {
+func (n *Node) Changes(name string, after objectstore.Version) objectstore.Changes {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.now()
 	f := n.feed(name)
 	if f == nil {
-		return platform.Changes{}
+		return objectstore.Changes{}
 	}
-	return platform.Changes{
+	return objectstore.Changes{
 		Objects: slices.Clone(f.changes(after)),
 		Next:    n.view(f),
 	}
@@ -128,7 +128,7 @@
 
 // view returns the feed's version and asserts that it is none before one that
 // was handed out.
-func (n *Node) view(f *feed) platform.Version {
+func (n *Node) view(f *feed) objectstore.Version {
 	if f.version < f.viewed {
 		n.violate("a version handed out never goes back", f.name)
 	}
--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Times of a reader's calls.
@@ -24,7 +24,7 @@
 // Reader calls the store for one feed of a node whenever the node asks for it.
 type Reader struct {
 	Node  *Node
-	Store platform.Store
+	Store objectstore.Store
 	Feed  Feed
 }
 
@@ -77,12 +77,12 @@
 }
 
 // head returns the version of the feed's head, zero if it has none.
-func (r *Reader) head(ctx context.Context) (platform.Version, error) {
+func (r *Reader) head(ctx context.Context) (objectstore.Version, error) {
 	if r.Feed.Head == "" {
 		return 0, nil
 	}
 	object, err := r.Store.Get(ctx, r.Feed.Head)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return 0, nil
 	}
@@ -102,8 +102,8 @@
 
 // fail tells the node whether the store was reached at all.
 func (r *Reader) fail(began time.Duration, err error) {
-	var refused *platform.RefusedError
-	var spent *platform.BudgetError
+	var refused *objectstore.RefusedError
+	var spent *objectstore.BudgetError
 	switch {
 	case errors.As(err, &refused):
 		r.Node.ReadRefused(r.Feed.Prefix, began)
@@ -121,7 +121,7 @@
 // start, until it knows another host, and then while the host is a reader.
 type Lister struct {
 	Node      *Node
-	Directory platform.Directory
+	Directory objectstore.Directory
 }
 
 // Run asks until the context ends.
--- a/fleet/reader_test.go
+++ b/fleet/reader_test.go
@@ -12,7 +12,7 @@
 
 	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // lone starts a node with its reader and lister on a link to the memory.
@@ -53,9 +53,9 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		memory := &store.Memory{}
-		memory.Register(platform.Machine{
+		memory.Register(objectstore.Machine{
 			Name: "host-2",
-			Kind: platform.EntryHost,
+			Kind: objectstore.EntryHost,
 			Zone: "accra-b",
 		})
 		node, link := lone(ctx, memory)
@@ -188,8 +188,8 @@
 	}
 	fmt.Println(node.Confirmation("keys/"))
 	began, _ := node.ReadBegins("keys/")
-	node.ReadSucceeded("keys/", began, platform.Changes{
-		Objects: []platform.Object{
+	node.ReadSucceeded("keys/", began, objectstore.Changes{
+		Objects: []objectstore.Object{
 			{
 				Key:     "keys/a",
 				Version: 4,
--- a/fleet/records.go
+++ b/fleet/records.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // maxRecords bounds the changes repeated in one message.
@@ -28,7 +28,7 @@
 // SetListed takes in the platform's list of machines. A listed host that
 // nobody has heard of becomes a member to be polled; a lost host that is no
 // longer listed is gone.
-func (n *Node) SetListed(machines []platform.Machine) {
+func (n *Node) SetListed(machines []objectstore.Machine) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
@@ -36,7 +36,7 @@
 		m.listed = false
 	}
 	for _, machine := range machines {
-		if machine.Kind == platform.EntryHost {
+		if machine.Kind == objectstore.EntryHost {
 			n.list(machine, now)
 		}
 	}
@@ -55,7 +55,7 @@
 }
 
 // list takes in one entry of the platform's list.
-func (n *Node) list(machine platform.Machine, now time.Duration) {
+func (n *Node) list(machine objectstore.Machine, now time.Duration) {
 	m := n.members[machine.Name]
 	if m == nil {
 		n.adopt(Record{
@@ -69,7 +69,7 @@
 		m = n.members[machine.Name]
 	}
 	m.listed = true
-	if machine.State == platform.Leaving && !m.Leaving {
+	if machine.State == objectstore.Leaving && !m.Leaving {
 		n.markLeaving(m, now)
 	}
 	if m.State == Gone && m.Incarnation == 0 {
--- a/fleet/start_test.go
+++ b/fleet/start_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/fleet"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // starting is a host that has just started, with the store down and two peers.
@@ -37,14 +37,14 @@
 		},
 		Clock: func() time.Time { return s.now },
 	}
-	var machines []platform.Machine
+	var machines []objectstore.Machine
 	for _, name := range []string{
 		"behind",
 		"ahead",
 	} {
-		machines = append(machines, platform.Machine{
+		machines = append(machines, objectstore.Machine{
 			Name: name,
-			Kind: platform.EntryHost,
+			Kind: objectstore.EntryHost,
 			Zone: "accra-a",
 		})
 	}
@@ -56,7 +56,7 @@
 }
 
 // answer gives the node a peer's status and then its view.
-func (s *starting) answer(peer string, version platform.Version) {
+func (s *starting) answer(peer string, version objectstore.Version) {
 	header := fleet.Header{
 		From:  peer,
 		Stamp: 1,
@@ -77,7 +77,7 @@
 		Header: header,
 		Feed:   keysFeed,
 		Status: status,
-		Objects: []platform.Object{
+		Objects: []objectstore.Object{
 			{
 				Key:     keysFeed + "a",
 				Version: version,
@@ -94,9 +94,9 @@
 	s.answer("ahead", 7)
 	s.now = s.now.Add(2 * time.Second)
 	require.True(t, s.node.IsReady(keysFeed))
-	require.Equal(t, platform.Version(7), s.node.Version(keysFeed))
+	require.Equal(t, objectstore.Version(7), s.node.Version(keysFeed))
 	s.answer("behind", 3)
-	require.Equal(t, platform.Version(7), s.node.Version(keysFeed))
+	require.Equal(t, objectstore.Version(7), s.node.Version(keysFeed))
 	require.Zero(t, s.node.Violations())
 }
 
--- a/fleet/store.go
+++ b/fleet/store.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // retryTime is how long a host that isn't a reader leaves the store alone
@@ -38,7 +38,7 @@
 // ReadBegins notes that a call for the feed is about to be made and returns
 // the time to pass to [Node.ReadSucceeded] or [Node.ReadFailed], and the
 // version to watch from.
-func (n *Node) ReadBegins(name string) (began time.Duration, after platform.Version) {
+func (n *Node) ReadBegins(name string) (began time.Duration, after objectstore.Version) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.now()
@@ -53,7 +53,7 @@
 // ReadSucceeded takes in the answer of a watch that began at a time. An answer
 // that ends before what is held here comes from the past: it changes nothing
 // and confirms nothing.
-func (n *Node) ReadSucceeded(name string, began time.Duration, changes platform.Changes) {
+func (n *Node) ReadSucceeded(name string, began time.Duration, changes objectstore.Changes) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.now()
@@ -72,7 +72,7 @@
 // ReadListed takes in a whole list of the feed's objects that was asked for at
 // a time, after a watch had turned out to lag. Objects are never removed under
 // a feed that has a head, so what the list lacks is newer than the list.
-func (n *Node) ReadListed(name string, began time.Duration, objects []platform.Object) {
+func (n *Node) ReadListed(name string, began time.Duration, objects []objectstore.Object) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.now()
--- a/fleet/world_test.go
+++ b/fleet/world_test.go
@@ -12,7 +12,7 @@
 
 	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 const (
@@ -43,7 +43,7 @@
 	slow   time.Duration
 	cut    func(from, to *host) bool
 	// calls counts the calls to the platform, a waiting watch as one.
-	calls platform.CallCounter
+	calls objectstore.CallCounter
 	// watched, if set, sees each message that is sent.
 	watched func(from, to *host, message fleet.Message)
 	// request is made at a host that thaws, before anything else.
@@ -105,7 +105,7 @@
 		}
 		w.hosts = append(w.hosts, h)
 		w.byName[h.Name] = h
-		w.list(h, platform.Live)
+		w.list(h, objectstore.Live)
 	}
 	w.put(tableFeed + "head")
 	w.put(keysFeed + "first")
@@ -116,10 +116,10 @@
 	return w
 }
 
-func (w *world) list(h *host, state platform.MachineState) {
-	w.memory.Register(platform.Machine{
+func (w *world) list(h *host, state objectstore.MachineState) {
+	w.memory.Register(objectstore.Machine{
 		Name:    h.Name,
-		Kind:    platform.EntryHost,
+		Kind:    objectstore.EntryHost,
 		Region:  h.Region,
 		Zone:    h.Zone,
 		Address: h.Address,
@@ -257,9 +257,9 @@
 			return
 		}
 		way := w.distance(h.Host, w.hosts[0].Host)
-		w.calls.Add(platform.WatchCall)
+		w.calls.Add(objectstore.WatchCall)
 		began, after := h.node.ReadBegins(feed)
-		answer := func(changes platform.Changes, err error) {
+		answer := func(changes objectstore.Changes, err error) {
 			if err != nil || h.cutStore {
 				w.after(storeTimeout, func() {
 					w.on(h, life, func() { h.node.ReadFailed(feed, began) })
@@ -277,12 +277,12 @@
 }
 
 // takeChanges does what the reader does with the answer to a watch.
-func (w *world) takeChanges(h *host, feed string, began time.Duration, changes platform.Changes) {
+func (w *world) takeChanges(h *host, feed string, began time.Duration, changes objectstore.Changes) {
 	if feed == keysFeed {
-		w.calls.Add(platform.GetCall)
+		w.calls.Add(objectstore.GetCall)
 		head, err := w.memory.Get(w.t.Context(), keysHead)
 		if err == nil && head.Version > changes.Next {
-			w.calls.Add(platform.ListCall)
+			w.calls.Add(objectstore.ListCall)
 			objects, err := w.memory.List(w.t.Context(), feed)
 			if err == nil {
 				h.node.ReadListed(feed, began, objects)
@@ -302,7 +302,7 @@
 }
 
 // watch answers at once if there are changes, else after the wait.
-func (w *world) watch(feed string, after platform.Version, wait time.Duration, answer func(platform.Changes, error)) {
+func (w *world) watch(feed string, after objectstore.Version, wait time.Duration, answer func(objectstore.Changes, error)) {
 	changes, err := w.memory.Watch(w.t.Context(), feed, after, 0)
 	if err != nil || len(changes.Objects) > 0 || wait == 0 {
 		answer(changes, err)
@@ -315,7 +315,7 @@
 func (w *world) listMachines(h *host, life int) {
 	w.on(h, life, func() {
 		if h.node.IsReader() || len(h.node.Members()) == 1 {
-			w.calls.Add(platform.MachinesCall)
+			w.calls.Add(objectstore.MachinesCall)
 			machines, err := w.memory.Machines(w.t.Context())
 			if err == nil {
 				h.node.SetListed(machines)
@@ -326,7 +326,7 @@
 }
 
 // put writes a key and returns its version.
-func (w *world) put(key string) platform.Version {
+func (w *world) put(key string) objectstore.Version {
 	version, err := w.memory.Put(w.t.Context(), key, []byte("value"), nil)
 	require.NoError(w.t, err)
 	return version
@@ -348,7 +348,7 @@
 
 // inForce runs until every given host has the version, and returns how long it
 // took.
-func (w *world) inForce(feed string, version platform.Version, hosts []*host, limit time.Duration) time.Duration {
+func (w *world) inForce(feed string, version objectstore.Version, hosts []*host, limit time.Duration) time.Duration {
 	began := w.now()
 	for w.now()-began <= limit {
 		behind := 0
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -19,7 +19,7 @@
 	"trefoilline.example/trefoilline/api/trefoilline/v1/trefoillinev1connect"
 	"trefoilline.example/trefoilline/internal/command"
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 	"trefoilline.example/trefoilline/team"
 )
@@ -85,7 +85,7 @@
 	require.Equal(t, before, b.objects(t))
 }
 
-func (b *bench) objects(t *testing.T) []platform.Object {
+func (b *bench) objects(t *testing.T) []objectstore.Object {
 	t.Helper()
 	faults := b.memory.Faults()
 	b.memory.SetFaults(store.Faults{})
@@ -256,9 +256,9 @@
 func TestHostsThatThePlatformLists(t *testing.T) {
 	b := newBench(t)
 	b.addHost(t, "accra-1", 1)
-	b.memory.Register(platform.Machine{
+	b.memory.Register(objectstore.Machine{
 		Name:    "accra-1",
-		Kind:    platform.EntryHost,
+		Kind:    objectstore.EntryHost,
 		Address: netip.MustParseAddrPort(strings.Trim(b.hosts, ",")),
 	})
 	b.hosts = ""
@@ -310,15 +310,15 @@
 
 // TestExitCodes holds the codes of errors that carry others.
 func TestExitCodes(t *testing.T) {
-	unknown := &platform.UnknownOutcomeError{}
+	unknown := &objectstore.UnknownOutcomeError{}
 	require.Equal(t, command.ExitUnreached, command.ExitCode(&table.NotPublishedError{
 		Cause: unknown,
 	}))
 	require.Equal(t, command.ExitUnknown, command.ExitCode(&table.UnknownOutcomeError{
-		Cause: &platform.UnreachedError{},
+		Cause: &objectstore.UnreachedError{},
 	}))
 	require.Equal(t, command.ExitRefused, command.ExitCode(&table.NotPublishedError{
-		Cause: &platform.RefusedError{},
+		Cause: &objectstore.RefusedError{},
 	}))
 	require.Equal(t, command.ExitUnknown, command.ExitCode(&team.UnknownOutcomeError{
 		Cause: unknown,
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"strings"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 	"trefoilline.example/trefoilline/team"
 )
@@ -69,9 +69,9 @@
 		return ExitOK
 	case is[*NotInForceError](err):
 		return ExitNotInForce
-	case is[*table.NotPublishedError](err) && is[*platform.UnknownOutcomeError](err):
+	case is[*table.NotPublishedError](err) && is[*objectstore.UnknownOutcomeError](err):
 		return ExitUnreached
-	case is[*table.UnknownOutcomeError](err), is[*team.UnknownOutcomeError](err), is[*platform.UnknownOutcomeError](err):
+	case is[*table.UnknownOutcomeError](err), is[*team.UnknownOutcomeError](err), is[*objectstore.UnknownOutcomeError](err):
 		return ExitUnknown
 	case is[*UsageError](err), is[*SettingError](err), is[*NoBaseError](err), is[*NoHostError](err), is[*AmbiguousKeyError](err):
 		return ExitUsage
@@ -80,11 +80,11 @@
 	case is[*table.ConflictError](err), is[*table.OverlapError](err), is[*table.EditReusedError](err):
 		return ExitConflict
 	case is[*NoSuchKeyError](err), is[*NoTeamError](err), is[*team.NoSuchKeyError](err),
-		is[*table.NoTableError](err), is[*table.NoVersionError](err), is[*platform.NotFoundError](err):
+		is[*table.NoTableError](err), is[*table.NoVersionError](err), is[*objectstore.NotFoundError](err):
 		return ExitNotFound
-	case is[*platform.UnreachedError](err), is[*HostError](err), errors.Is(err, context.DeadlineExceeded):
+	case is[*objectstore.UnreachedError](err), is[*HostError](err), errors.Is(err, context.DeadlineExceeded):
 		return ExitUnreached
-	case is[*platform.RefusedError](err):
+	case is[*objectstore.RefusedError](err):
 		return ExitRefused
 	}
 	return ExitOther
--- a/internal/command/hosts.go
+++ b/internal/command/hosts.go
@@ -15,7 +15,7 @@
 	trefoillinev1 "trefoilline.example/trefoilline/api/trefoilline/v1"
 	"trefoilline.example/trefoilline/api/trefoilline/v1/trefoillinev1connect"
 	"trefoilline.example/trefoilline/internal/secret"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // parallelHosts is how many hosts are asked at once.
@@ -64,7 +64,7 @@
 	}
 	var hosts []netip.AddrPort
 	for _, m := range machines {
-		if m.Kind == platform.EntryHost {
+		if m.Kind == objectstore.EntryHost {
 			hosts = append(hosts, m.Address)
 		}
 	}
--- a/internal/command/key_withdraw.go
+++ b/internal/command/key_withdraw.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/team"
 )
 
@@ -88,8 +88,8 @@
 	return reportWithdrawn(c, store, wait, records...)
 }
 
-func reportWithdrawn(c *cobra.Command, store *platform.Client, wait waiting, records ...team.Record) error {
-	var newest platform.Version
+func reportWithdrawn(c *cobra.Command, store *objectstore.Client, wait waiting, records ...team.Record) error {
+	var newest objectstore.Version
 	for _, r := range records {
 		fmt.Fprintf(c.OutOrStdout(), "withdrawn: %s of team %s, at %s\n", r.Hash, r.Team, moment(r.Withdrawn))
 		if !wait.wanted {
@@ -111,7 +111,7 @@
 }
 
 // findKey returns the one hash that starts with the digits.
-func findKey(ctx context.Context, store *platform.Client, digits string) (team.Hash, error) {
+func findKey(ctx context.Context, store *objectstore.Client, digits string) (team.Hash, error) {
 	digits = strings.ToLower(digits)
 	if len(digits) < leastDigits || strings.Trim(digits, "0123456789abcdef") != "" {
 		return team.Hash{}, &SettingError{
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -8,7 +8,7 @@
 	"github.com/spf13/cobra"
 	"github.com/spf13/viper"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Names of the flags of every command.
@@ -71,7 +71,7 @@
 func isSeparator(r rune) bool { return r == ',' || r == ' ' }
 
 // open returns the platform's client.
-func (s settings) open() (*platform.Client, error) {
+func (s settings) open() (*objectstore.Client, error) {
 	base, err := netip.ParseAddrPort(s.store)
 	if err != nil {
 		return nil, &SettingError{
@@ -80,14 +80,14 @@
 			Accepted: "an IP address and port, such as 10.0.0.9:7000, or the same in TREFOILLINE_STORE",
 		}
 	}
-	return &platform.Client{
+	return &objectstore.Client{
 		Base:    base,
 		Timeout: s.timeout,
 	}, nil
 }
 
 // openStore reads the settings and returns the platform's client.
-func openStore(c *cobra.Command) (*platform.Client, error) {
+func openStore(c *cobra.Command) (*objectstore.Client, error) {
 	s, err := readSettings(c)
 	if err != nil {
 		return nil, err
--- a/internal/command/table_apply.go
+++ b/internal/command/table_apply.go
@@ -11,7 +11,7 @@
 
 	"github.com/spf13/cobra"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 )
 
@@ -117,7 +117,7 @@
 }
 
 // publish shows the change, and makes it unless this is a dry run.
-func (a *applying) publish(c *cobra.Command, store *platform.Client, inForce table.Table, edit table.Edit) error {
+func (a *applying) publish(c *cobra.Command, store *objectstore.Client, inForce table.Table, edit table.Edit) error {
 	edit.Author, edit.Note, edit.Merge = a.author, a.note, a.merge
 	edit.ID = table.EditID(a.edit)
 	if edit.ID == "" {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,8 +20,8 @@
 	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/fleet/peer"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
-	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/suspect"
@@ -42,9 +42,9 @@
 	log         observe.Log
 	measures    *observe.Measures
 
-	budget    *platform.Budgeted
-	store     platform.Store
-	directory platform.Directory
+	budget    *objectstore.Budgeted
+	store     objectstore.Store
+	directory objectstore.Directory
 
 	reader table.Reader
 	tables table.Follower
@@ -104,17 +104,17 @@
 // wireStore sets up the platform's client with a budget of calls, so that a
 // fault of one host cannot use up what the platform serves all of them.
 func (d *daemon) wireStore() {
-	client := &platform.Client{
+	client := &objectstore.Client{
 		Base: d.settings.Store,
 	}
-	budgeted := &platform.Budgeted{
+	budgeted := &objectstore.Budgeted{
 		Store:     client,
 		Directory: client,
-		Reads: platform.CallRate{
+		Reads: objectstore.CallRate{
 			PerSecond: storeReads,
 			Burst:     2 * storeReads,
 		},
-		Writes: platform.CallRate{
+		Writes: objectstore.CallRate{
 			PerSecond: storeWrites,
 			Burst:     2 * storeWrites,
 		},
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -13,8 +13,8 @@
 	"trefoilline.example/trefoilline/fleet"
 	"trefoilline.example/trefoilline/fleet/peer"
 	"trefoilline.example/trefoilline/internal/secret"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
-	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
@@ -203,8 +203,8 @@
 
 // followFeed hands each change of a feed to a function until the context ends.
 // A change that could not be taken in is handed over again.
-func (d *daemon) followFeed(ctx context.Context, feed fleet.Feed, take func(platform.Changes) error) {
-	var after platform.Version
+func (d *daemon) followFeed(ctx context.Context, feed fleet.Feed, take func(objectstore.Changes) error) {
+	var after objectstore.Version
 	for ctx.Err() == nil {
 		if d.node.Version(feed.Prefix) > after {
 			changes := d.node.Changes(feed.Prefix, after)
--- a/internal/daemon/gauges.go
+++ b/internal/daemon/gauges.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 )
 
@@ -28,7 +28,7 @@
 }
 
 // gaugeCalls shows the calls to the store since the start.
-func (d *daemon) gaugeCalls(sent, refused platform.Calls) {
+func (d *daemon) gaugeCalls(sent, refused objectstore.Calls) {
 	d.measures.Gauge("store-calls/reads", int64(sent.Reads()))
 	d.measures.Gauge("store-calls/writes", int64(sent.Writes()))
 	d.measures.Gauge("store-calls/over-budget", int64(refused.Reads()+refused.Writes()))
--- a/internal/daemon/keys.go
+++ b/internal/daemon/keys.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"trefoilline.example/trefoilline/entry"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
-	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/team"
 )
 
@@ -54,7 +54,7 @@
 	}
 	d.keys.mutex.Lock()
 	defer d.keys.mutex.Unlock()
-	changes := d.node.Changes(keysFeed.Prefix, platform.Version(d.keys.version.Load()))
+	changes := d.node.Changes(keysFeed.Prefix, objectstore.Version(d.keys.version.Load()))
 	d.keys.holder.Update(changes, time.Now())
 	d.keys.version.Store(uint64(changes.Next))
 	d.log.Write(observe.KeysInForce, zap.Uint64("version", uint64(changes.Next)), zap.Int("keys", d.keys.holder.View().Len()))
--- a/internal/daemon/machines.go
+++ b/internal/daemon/machines.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
-	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/steer"
 )
 
@@ -22,8 +22,8 @@
 
 // machineList is one reading of the platform's list.
 type machineList struct {
-	entries  []platform.Machine
-	backends []platform.Machine
+	entries  []objectstore.Machine
+	backends []objectstore.Machine
 }
 
 // followMachines reads the platform's list until the context ends.
@@ -51,9 +51,9 @@
 	list := &machineList{}
 	for _, m := range machines {
 		switch m.Kind {
-		case platform.EntryHost:
+		case objectstore.EntryHost:
 			list.entries = append(list.entries, m)
-		case platform.BackendServer:
+		case objectstore.BackendServer:
 			list.backends = append(list.backends, m)
 		}
 	}
@@ -69,7 +69,7 @@
 // platform's list.
 func (d *daemon) isEntryHost(address netip.AddrPort) bool {
 	list := d.machines.Load()
-	return list != nil && slices.ContainsFunc(list.entries, func(m platform.Machine) bool { return m.Address == address })
+	return list != nil && slices.ContainsFunc(list.entries, func(m objectstore.Machine) bool { return m.Address == address })
 }
 
 // refreshLookup rebuilds the look-up answers from what is known now.
--- a/internal/daemon/plan.go
+++ b/internal/daemon/plan.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"trefoilline.example/trefoilline/lease"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
-	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
@@ -113,7 +113,7 @@
 
 // followPlan puts each new plan in force until the context ends.
 func (d *daemon) followPlan(ctx context.Context) {
-	d.followFeed(ctx, planFeed, func(changes platform.Changes) error {
+	d.followFeed(ctx, planFeed, func(changes objectstore.Changes) error {
 		for _, o := range changes.Objects {
 			if err := d.takePlan(o); err != nil {
 				d.log.Write(observe.PlanUnreadable, zap.Error(err))
@@ -123,7 +123,7 @@
 	})
 }
 
-func (d *daemon) takePlan(object platform.Object) error {
+func (d *daemon) takePlan(object objectstore.Object) error {
 	body, err := lease.Body(object)
 	if err != nil || len(body) == 0 {
 		return err
--- a/internal/daemon/tables.go
+++ b/internal/daemon/tables.go
@@ -5,15 +5,15 @@
 
 	"go.uber.org/zap"
 
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
-	"trefoilline.example/trefoilline/platform"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
 
 // followTable takes each new version of the table until the context ends.
 func (d *daemon) followTable(ctx context.Context) {
-	d.followFeed(ctx, tableFeed, func(changes platform.Changes) error {
+	d.followFeed(ctx, tableFeed, func(changes objectstore.Changes) error {
 		for _, o := range changes.Objects {
 			if err := d.loadTable(ctx, o); err != nil {
 				d.log.Write(observe.TableUnreadable, zap.Error(err))
@@ -25,7 +25,7 @@
 }
 
 // loadTable takes the version that a head names, if it is newer.
-func (d *daemon) loadTable(ctx context.Context, object platform.Object) error {
+func (d *daemon) loadTable(ctx context.Context, object objectstore.Object) error {
 	head, err := table.ParseHead(object.Value)
 	if err != nil || head.Version <= d.tables.Version() {
 		return err
--- a/internal/standin/store/faults.go
+++ b/internal/standin/store/faults.go
@@ -4,7 +4,7 @@
 	"maps"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Faults are the failures in force. The zero value is a healthy store.
@@ -85,14 +85,14 @@
 }
 
 func unreached(key string, cause error) error {
-	return &platform.UnreachedError{
+	return &objectstore.UnreachedError{
 		Key:   key,
 		Cause: cause,
 	}
 }
 
 func unknownOutcome(key string, cause error) error {
-	return &platform.UnknownOutcomeError{
+	return &objectstore.UnknownOutcomeError{
 		Key:   key,
 		Cause: cause,
 	}
--- a/internal/standin/store/link.go
+++ b/internal/standin/store/link.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // cutError says why a call over a cut link failed.
@@ -14,8 +14,8 @@
 func (*cutError) Error() string { return "the link to the store is cut" }
 
 // Link is one host's way to the platform. A cut makes new calls and those that
-// wait fail as not reached. It implements [platform.Store] and
-// [platform.Directory].
+// wait fail as not reached. It implements [objectstore.Store] and
+// [objectstore.Directory].
 type Link struct {
 	Memory *Memory
 
@@ -25,8 +25,8 @@
 }
 
 var (
-	_ platform.Store     = (*Link)(nil)
-	_ platform.Directory = (*Link)(nil)
+	_ objectstore.Store     = (*Link)(nil)
+	_ objectstore.Directory = (*Link)(nil)
 )
 
 // SetCut cuts the link or mends it.
@@ -47,18 +47,18 @@
 	close(l.cut)
 }
 
-// Get implements [platform.Store].
-func (l *Link) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements [objectstore.Store].
+func (l *Link) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	ctx, done, err := l.enter(ctx, key)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	defer done()
 	return l.Memory.Get(ctx, key)
 }
 
-// Put implements [platform.Store].
-func (l *Link) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+// Put implements [objectstore.Store].
+func (l *Link) Put(ctx context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
 	ctx, done, err := l.enter(ctx, key)
 	if err != nil {
 		return 0, err
@@ -67,8 +67,8 @@
 	return l.Memory.Put(ctx, key, value, condition)
 }
 
-// Delete implements [platform.Store].
-func (l *Link) Delete(ctx context.Context, key string, condition platform.Condition) error {
+// Delete implements [objectstore.Store].
+func (l *Link) Delete(ctx context.Context, key string, condition objectstore.Condition) error {
 	ctx, done, err := l.enter(ctx, key)
 	if err != nil {
 		return err
@@ -77,8 +77,8 @@
 	return l.Memory.Delete(ctx, key, condition)
 }
 
-// List implements [platform.Store].
-func (l *Link) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+// List implements [objectstore.Store].
+func (l *Link) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
 	ctx, done, err := l.enter(ctx, prefix)
 	if err != nil {
 		return nil, err
@@ -87,18 +87,18 @@
 	return l.Memory.List(ctx, prefix)
 }
 
-// Watch implements [platform.Store].
-func (l *Link) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (platform.Changes, error) {
+// Watch implements [objectstore.Store].
+func (l *Link) Watch(ctx context.Context, prefix string, after objectstore.Version, wait time.Duration) (objectstore.Changes, error) {
 	ctx, done, err := l.enter(ctx, prefix)
 	if err != nil {
-		return platform.Changes{}, err
+		return objectstore.Changes{}, err
 	}
 	defer done()
 	return l.Memory.Watch(ctx, prefix, after, wait)
 }
 
-// Machines implements [platform.Directory].
-func (l *Link) Machines(ctx context.Context) ([]platform.Machine, error) {
+// Machines implements [objectstore.Directory].
+func (l *Link) Machines(ctx context.Context) ([]objectstore.Machine, error) {
 	ctx, done, err := l.enter(ctx, "machines")
 	if err != nil {
 		return nil, err
--- a/internal/standin/store/machines.go
+++ b/internal/standin/store/machines.go
@@ -6,32 +6,32 @@
 	"slices"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // machineEvent is a change to the list that becomes visible after the lag.
 type machineEvent struct {
 	At      time.Time
-	Machine platform.Machine
+	Machine objectstore.Machine
 	Removed bool
 }
 
 // Register adds a machine to the list, or changes its entry. It shows after
 // the lag.
-func (m *Memory) Register(machine platform.Machine) {
+func (m *Memory) Register(machine objectstore.Machine) {
 	m.record(machine, false)
 }
 
 // Unregister takes a machine off the list. It stays listed for the lag.
 func (m *Memory) Unregister(name string) {
-	m.record(platform.Machine{
+	m.record(objectstore.Machine{
 		Name: name,
 	}, true)
 }
 
-// Machines implements [platform.Directory].
-func (m *Memory) Machines(ctx context.Context) ([]platform.Machine, error) {
-	m.calls.Add(platform.MachinesCall)
+// Machines implements [objectstore.Directory].
+func (m *Memory) Machines(ctx context.Context) ([]objectstore.Machine, error) {
+	m.calls.Add(objectstore.MachinesCall)
 	if err := m.checkListUp(); err != nil {
 		return nil, err
 	}
@@ -41,15 +41,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.settle()
-	list := make([]platform.Machine, 0, len(m.listed))
+	list := make([]objectstore.Machine, 0, len(m.listed))
 	for _, machine := range m.listed {
 		list = append(list, machine)
 	}
-	slices.SortFunc(list, func(a, b platform.Machine) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(list, func(a, b objectstore.Machine) int { return cmp.Compare(a.Name, b.Name) })
 	return list, nil
 }
 
-func (m *Memory) record(machine platform.Machine, removed bool) {
+func (m *Memory) record(machine objectstore.Machine, removed bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.pending = append(m.pending, machineEvent{
@@ -63,7 +63,7 @@
 // holds the lock.
 func (m *Memory) settle() {
 	if m.listed == nil {
-		m.listed = make(map[string]platform.Machine)
+		m.listed = make(map[string]objectstore.Machine)
 	}
 	visible := m.now().Add(-m.MachineLag)
 	for len(m.pending) > 0 && !m.pending[0].At.After(visible) {
--- a/internal/standin/store/memory.go
+++ b/internal/standin/store/memory.go
@@ -10,7 +10,7 @@
 # Usage
 
 	memory := &store.Memory{}
-	version, err := memory.Put(ctx, "table/head", value, platform.IfAbsent{})
+	version, err := memory.Put(ctx, "table/head", value, objectstore.IfAbsent{})
 	memory.SetFaults(store.Faults{
 		LoseReplies: 1,
 	})
@@ -22,7 +22,7 @@
 	"sync"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Memory is a platform in memory. Its zero value is empty and ready, and it is
@@ -33,26 +33,26 @@
 	// MachineLag is how much later than the truth the list of machines is.
 	MachineLag time.Duration
 
-	calls platform.CallCounter
+	calls objectstore.CallCounter
 
 	mu      sync.Mutex
-	version platform.Version
+	version objectstore.Version
 	// objects holds removed keys too, as watches report them.
-	objects map[string]platform.Object
+	objects map[string]objectstore.Object
 	// changed is closed at the next write or change of faults.
 	changed chan struct{}
 	faults  Faults
 	// past is what stale calls see, fixed when staleness was commanded.
-	past        map[string]platform.Object
-	pastVersion platform.Version
+	past        map[string]objectstore.Object
+	pastVersion objectstore.Version
 
 	pending []machineEvent
-	listed  map[string]platform.Machine
+	listed  map[string]objectstore.Machine
 }
 
 var (
-	_ platform.Store     = (*Memory)(nil)
-	_ platform.Directory = (*Memory)(nil)
+	_ objectstore.Store     = (*Memory)(nil)
+	_ objectstore.Directory = (*Memory)(nil)
 )
 
 func (m *Memory) now() time.Time {
--- a/internal/standin/store/reads.go
+++ b/internal/standin/store/reads.go
@@ -7,59 +7,59 @@
 	"strings"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Calls returns the calls received so far, refused ones included.
-func (m *Memory) Calls() platform.Calls { return m.calls.Calls() }
+func (m *Memory) Calls() objectstore.Calls { return m.calls.Calls() }
 
-// Get implements [platform.Store].
-func (m *Memory) Get(ctx context.Context, key string) (platform.Object, error) {
-	m.calls.Add(platform.GetCall)
+// Get implements [objectstore.Store].
+func (m *Memory) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	m.calls.Add(objectstore.GetCall)
 	if err := m.enter(ctx, key); err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
 	m.mu.Lock()
 	object, ok := m.visible(m.faults.StaleReads)[key]
 	m.mu.Unlock()
 	if !ok || object.Deleted {
-		return platform.Object{}, &platform.NotFoundError{
+		return objectstore.Object{}, &objectstore.NotFoundError{
 			Key: key,
 		}
 	}
 	return object, nil
 }
 
-// List implements [platform.Store].
-func (m *Memory) List(ctx context.Context, prefix string) ([]platform.Object, error) {
-	m.calls.Add(platform.ListCall)
+// List implements [objectstore.Store].
+func (m *Memory) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
+	m.calls.Add(objectstore.ListCall)
 	if err := m.enter(ctx, prefix); err != nil {
 		return nil, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var list []platform.Object
+	var list []objectstore.Object
 	for key, object := range m.visible(m.faults.StaleReads) {
 		if strings.HasPrefix(key, prefix) && !object.Deleted {
 			list = append(list, object)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Object) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(list, func(a, b objectstore.Object) int { return cmp.Compare(a.Key, b.Key) })
 	return list, nil
 }
 
-// Watch implements [platform.Store]. A store that goes down ends its watches.
-func (m *Memory) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) (platform.Changes, error) {
-	m.calls.Add(platform.WatchCall)
+// Watch implements [objectstore.Store]. A store that goes down ends its watches.
+func (m *Memory) Watch(ctx context.Context, prefix string, after objectstore.Version, wait time.Duration) (objectstore.Changes, error) {
+	m.calls.Add(objectstore.WatchCall)
 	if err := m.enter(ctx, prefix); err != nil {
-		return platform.Changes{}, err
+		return objectstore.Changes{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		found, changed := m.changesAfter(prefix, after)
 		if err := m.checkUp(prefix); err != nil {
-			return platform.Changes{}, err
+			return objectstore.Changes{}, err
 		}
 		if len(found.Objects) > 0 {
 			return found, nil
@@ -69,7 +69,7 @@
 		case <-timer.C:
 			return found, nil
 		case <-ctx.Done():
-			return platform.Changes{}, unreached(prefix, ctx.Err())
+			return objectstore.Changes{}, unreached(prefix, ctx.Err())
 		}
 	}
 }
@@ -87,10 +87,10 @@
 
 // changesAfter returns what a watch sees now and a channel that closes at the
 // next change.
-func (m *Memory) changesAfter(prefix string, after platform.Version) (platform.Changes, <-chan struct{}) {
+func (m *Memory) changesAfter(prefix string, after objectstore.Version) (objectstore.Changes, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	found := platform.Changes{
+	found := objectstore.Changes{
 		Next: m.version,
 	}
 	if m.faults.StaleWatch {
@@ -101,13 +101,13 @@
 			found.Objects = append(found.Objects, object)
 		}
 	}
-	slices.SortFunc(found.Objects, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(found.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Version, b.Version) })
 	return found, m.changes()
 }
 
 // visible is the present or, for stale calls, the past. The caller holds the
 // lock.
-func (m *Memory) visible(stale bool) map[string]platform.Object {
+func (m *Memory) visible(stale bool) map[string]objectstore.Object {
 	if stale {
 		return m.past
 	}
--- a/internal/standin/store/reply.go
+++ b/internal/standin/store/reply.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"net/http"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // reply writes the body, or what the error means over HTTP.
@@ -12,25 +12,25 @@
 	switch err := err.(type) {
 	case nil:
 		send(w, http.StatusOK, body)
-	case *platform.NotFoundError:
-		send(w, http.StatusNotFound, platform.Failure{
-			Code:   platform.CodeNotFound,
+	case *objectstore.NotFoundError:
+		send(w, http.StatusNotFound, objectstore.Failure{
+			Code:   objectstore.CodeNotFound,
 			Reason: err.Error(),
 		})
-	case *platform.ConflictError:
-		send(w, http.StatusPreconditionFailed, platform.Failure{
-			Code:   platform.CodeConflict,
+	case *objectstore.ConflictError:
+		send(w, http.StatusPreconditionFailed, objectstore.Failure{
+			Code:   objectstore.CodeConflict,
 			Reason: err.Error(),
 			Found:  err.Found,
 		})
-	case *platform.RefusedError:
-		send(w, err.Status, platform.Failure{
-			Code:   platform.CodeRefused,
+	case *objectstore.RefusedError:
+		send(w, err.Status, objectstore.Failure{
+			Code:   objectstore.CodeRefused,
 			Reason: err.Reason,
 		})
-	case *platform.UnreachedError:
-		send(w, http.StatusServiceUnavailable, platform.Failure{
-			Code:   platform.CodeUnavailable,
+	case *objectstore.UnreachedError:
+		send(w, http.StatusServiceUnavailable, objectstore.Failure{
+			Code:   objectstore.CodeUnavailable,
 			Reason: err.Error(),
 		})
 	default:
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Paths of the controls that only the stand-in has.
@@ -41,12 +41,12 @@
 
 func (s *Server) route() {
 	s.mux = http.NewServeMux()
-	s.mux.HandleFunc("GET "+platform.ObjectsPath+"{key...}", s.get)
-	s.mux.HandleFunc("PUT "+platform.ObjectsPath+"{key...}", s.put)
-	s.mux.HandleFunc("DELETE "+platform.ObjectsPath+"{key...}", s.remove)
-	s.mux.HandleFunc("GET "+platform.ListPath, s.list)
-	s.mux.HandleFunc("GET "+platform.WatchPath, s.watch)
-	s.mux.HandleFunc("GET "+platform.MachinesPath, s.machines)
+	s.mux.HandleFunc("GET "+objectstore.ObjectsPath+"{key...}", s.get)
+	s.mux.HandleFunc("PUT "+objectstore.ObjectsPath+"{key...}", s.put)
+	s.mux.HandleFunc("DELETE "+objectstore.ObjectsPath+"{key...}", s.remove)
+	s.mux.HandleFunc("GET "+objectstore.ListPath, s.list)
+	s.mux.HandleFunc("GET "+objectstore.WatchPath, s.watch)
+	s.mux.HandleFunc("GET "+objectstore.MachinesPath, s.machines)
 	s.mux.HandleFunc("POST "+FaultsPath, s.setFaults)
 	s.mux.HandleFunc("PUT "+MachinesControlPath+"{name}", s.register)
 	s.mux.HandleFunc("DELETE "+MachinesControlPath+"{name}", s.unregister)
@@ -65,13 +65,13 @@
 		reply(w, nil, err)
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueSize+1))
+	value, err := io.ReadAll(io.LimitReader(r.Body, objectstore.MaxValueSize+1))
 	if err != nil {
 		reply(w, nil, refused(key, "body can't be read"))
 		return
 	}
 	version, err := s.Memory.Put(r.Context(), key, value, condition)
-	reply(w, platform.Written{
+	reply(w, objectstore.Written{
 		Version: version,
 	}, err)
 }
@@ -83,12 +83,12 @@
 		reply(w, nil, err)
 		return
 	}
-	reply(w, platform.Written{}, s.Memory.Delete(r.Context(), key, condition))
+	reply(w, objectstore.Written{}, s.Memory.Delete(r.Context(), key, condition))
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	objects, err := s.Memory.List(r.Context(), r.URL.Query().Get("prefix"))
-	reply(w, platform.ObjectList{
+	reply(w, objectstore.ObjectList{
 		Objects: objects,
 	}, err)
 }
@@ -106,13 +106,13 @@
 		reply(w, nil, refused(prefix, "wait is not a duration from 0s to "+maxWatchWait.String()))
 		return
 	}
-	changes, err := s.Memory.Watch(r.Context(), prefix, platform.Version(after), wait)
+	changes, err := s.Memory.Watch(r.Context(), prefix, objectstore.Version(after), wait)
 	reply(w, changes, err)
 }
 
 func (s *Server) machines(w http.ResponseWriter, r *http.Request) {
 	machines, err := s.Memory.Machines(r.Context())
-	reply(w, platform.MachineList{
+	reply(w, objectstore.MachineList{
 		Machines: machines,
 	}, err)
 }
@@ -130,7 +130,7 @@
 }
 
 func (s *Server) register(w http.ResponseWriter, r *http.Request) {
-	var machine platform.Machine
+	var machine objectstore.Machine
 	if !decode(w, r, &machine) {
 		return
 	}
@@ -141,7 +141,7 @@
 
 func (s *Server) unregister(w http.ResponseWriter, r *http.Request) {
 	s.Memory.Unregister(r.PathValue("name"))
-	reply(w, platform.Written{}, nil)
+	reply(w, objectstore.Written{}, nil)
 }
 
 func (s *Server) calls(w http.ResponseWriter, _ *http.Request) {
@@ -149,26 +149,26 @@
 }
 
 // parseCondition reads the condition of a write from its header.
-func parseCondition(header http.Header, key string) (platform.Condition, error) {
+func parseCondition(header http.Header, key string) (objectstore.Condition, error) {
 	if header.Get("If-None-Match") == "*" {
-		return platform.IfAbsent{}, nil
+		return objectstore.IfAbsent{}, nil
 	}
 	match := header.Get("If-Match")
 	if match == "" {
-		return platform.Always{}, nil
+		return objectstore.Always{}, nil
 	}
 	version, err := strconv.ParseUint(strings.Trim(match, `"`), 10, 64)
 	if err != nil {
 		return nil, refused(key, "If-Match is not a quoted version number: "+match)
 	}
-	return platform.IfVersion{
-		Version: platform.Version(version),
+	return objectstore.IfVersion{
+		Version: objectstore.Version(version),
 	}, nil
 }
 
 // decode reads a JSON body strictly, or answers that it can't.
 func decode(w http.ResponseWriter, r *http.Request, into any) bool {
-	decoder := json.NewDecoder(io.LimitReader(r.Body, platform.MaxValueSize))
+	decoder := json.NewDecoder(io.LimitReader(r.Body, objectstore.MaxValueSize))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
 		reply(w, nil, refused(r.URL.Path, err.Error()))
@@ -178,7 +178,7 @@
 }
 
 func refused(key, reason string) error {
-	return &platform.RefusedError{
+	return &objectstore.RefusedError{
 		Key:    key,
 		Reason: reason,
 		Status: http.StatusBadRequest,
--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -13,16 +13,16 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // overHTTP serves the memory and returns a client of it.
-func overHTTP(t *testing.T, m *store.Memory) (*platform.Client, *httptest.Server) {
+func overHTTP(t *testing.T, m *store.Memory) (*objectstore.Client, *httptest.Server) {
 	server := httptest.NewServer(&store.Server{
 		Memory: m,
 	})
 	t.Cleanup(server.Close)
-	return &platform.Client{
+	return &objectstore.Client{
 		Base: netip.MustParseAddrPort(server.Listener.Addr().String()),
 	}, server
 }
@@ -30,35 +30,35 @@
 func TestConditionalWritesDirectAndOverHTTP(t *testing.T) {
 	direct := &store.Memory{}
 	client, _ := overHTTP(t, &store.Memory{})
-	stores := []platform.Store{
+	stores := []objectstore.Store{
 		direct,
 		client,
 	}
 	for _, s := range stores {
 		ctx := t.Context()
 		_, err := s.Get(ctx, "table/head")
-		require.ErrorAs(t, err, new(*platform.NotFoundError))
-		first, err := s.Put(ctx, "table/head", []byte("one"), platform.IfAbsent{})
+		require.ErrorAs(t, err, new(*objectstore.NotFoundError))
+		first, err := s.Put(ctx, "table/head", []byte("one"), objectstore.IfAbsent{})
 		require.NoError(t, err)
-		_, err = s.Put(ctx, "table/head", []byte("two"), platform.IfAbsent{})
-		require.Equal(t, &platform.ConflictError{
+		_, err = s.Put(ctx, "table/head", []byte("two"), objectstore.IfAbsent{})
+		require.Equal(t, &objectstore.ConflictError{
 			Key:   "table/head",
 			Found: first,
 		}, err)
-		second, err := s.Put(ctx, "table/head", []byte("two"), platform.IfVersion{
+		second, err := s.Put(ctx, "table/head", []byte("two"), objectstore.IfVersion{
 			Version: first,
 		})
 		require.NoError(t, err)
 		require.Greater(t, second, first)
-		err = s.Delete(ctx, "table/head", platform.IfVersion{
+		err = s.Delete(ctx, "table/head", objectstore.IfVersion{
 			Version: first,
 		})
-		require.ErrorAs(t, err, new(*platform.ConflictError))
+		require.ErrorAs(t, err, new(*objectstore.ConflictError))
 		object, err := s.Get(ctx, "table/head")
 		require.NoError(t, err)
 		require.Equal(t, "two", string(object.Value))
-		_, err = s.Put(ctx, "big", make([]byte, platform.MaxValueSize+1), platform.Always{})
-		require.ErrorAs(t, err, new(*platform.RefusedError))
+		_, err = s.Put(ctx, "big", make([]byte, objectstore.MaxValueSize+1), objectstore.Always{})
+		require.ErrorAs(t, err, new(*objectstore.RefusedError))
 		require.NoError(t, s.Delete(ctx, "table/head", nil))
 		list, err := s.List(ctx, "table/")
 		require.NoError(t, err)
@@ -78,8 +78,8 @@
 	m.SetFaults(store.Faults{
 		LoseReplies: 1,
 	})
-	_, err := client.Put(ctx, "a", []byte("x"), platform.IfAbsent{})
-	require.ErrorAs(t, err, new(*platform.UnknownOutcomeError))
+	_, err := client.Put(ctx, "a", []byte("x"), objectstore.IfAbsent{})
+	require.ErrorAs(t, err, new(*objectstore.UnknownOutcomeError))
 	object, err := client.Get(ctx, "a")
 	require.NoError(t, err)
 	require.Equal(t, "x", string(object.Value))
@@ -88,22 +88,22 @@
 	m.SetFaults(store.Faults{
 		Down: true,
 	})
-	_, err = client.Put(ctx, "a", []byte("y"), platform.Always{})
-	require.ErrorAs(t, err, new(*platform.UnreachedError))
+	_, err = client.Put(ctx, "a", []byte("y"), objectstore.Always{})
+	require.ErrorAs(t, err, new(*objectstore.UnreachedError))
 	_, err = client.Get(ctx, "a")
-	require.ErrorAs(t, err, new(*platform.UnreachedError))
+	require.ErrorAs(t, err, new(*objectstore.UnreachedError))
 
 	// A connection that was open at the close may have carried the write as far
 	// as the client can tell, so only a client without one is sure.
 	server.Close()
-	fresh := &platform.Client{
+	fresh := &objectstore.Client{
 		Base: client.Base,
 		HTTP: &http.Client{
 			Transport: &http.Transport{},
 		},
 	}
-	_, err = fresh.Put(ctx, "a", []byte("y"), platform.Always{})
-	require.ErrorAs(t, err, new(*platform.UnreachedError))
+	_, err = fresh.Put(ctx, "a", []byte("y"), objectstore.Always{})
+	require.ErrorAs(t, err, new(*objectstore.UnreachedError))
 }
 
 func TestWatchWaitsInSimulatedTime(t *testing.T) {
@@ -134,7 +134,7 @@
 		StaleWatch: true,
 		StaleReads: true,
 	})
-	_, err = m.Put(ctx, "head", []byte("new"), platform.IfVersion{
+	_, err = m.Put(ctx, "head", []byte("new"), objectstore.IfVersion{
 		Version: old,
 	})
 	require.NoError(t, err)
@@ -152,9 +152,9 @@
 		m := &store.Memory{
 			MachineLag: 4 * time.Second,
 		}
-		m.Register(platform.Machine{
+		m.Register(objectstore.Machine{
 			Name: "host-1",
-			Kind: platform.EntryHost,
+			Kind: objectstore.EntryHost,
 		})
 		list, err := m.Machines(t.Context())
 		require.NoError(t, err)
@@ -181,10 +181,10 @@
 			link.SetCut(true)
 		}()
 		_, err := link.Watch(t.Context(), "", 0, time.Minute)
-		require.ErrorAs(t, err, new(*platform.UnreachedError))
+		require.ErrorAs(t, err, new(*objectstore.UnreachedError))
 		link.SetCut(false)
 		_, err = link.Get(t.Context(), "a")
-		require.ErrorAs(t, err, new(*platform.NotFoundError))
+		require.ErrorAs(t, err, new(*objectstore.NotFoundError))
 	})
 }
 
@@ -203,7 +203,7 @@
 		`{"kind":"entry-host","zone":"accra-a","region":"accra","address":"127.0.0.1:9000","state":"leaving"}`))
 	list, err := client.Machines(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, platform.Leaving, list[0].State)
+	require.Equal(t, objectstore.Leaving, list[0].State)
 	require.Equal(t, http.StatusOK, send("DELETE", store.MachinesControlPath+"host-1", ""))
 	require.Equal(t, http.StatusOK, send("POST", store.FaultsPath, `{"delay":"1ms","lose-replies":2}`))
 	require.Equal(t, store.Faults{
@@ -213,7 +213,7 @@
 	require.Equal(t, http.StatusBadRequest, send("POST", store.FaultsPath, `{"delay":"soon"}`))
 	require.Equal(t, http.StatusBadRequest, send("POST", store.FaultsPath, `{"dwon":true}`))
 	require.Equal(t, http.StatusOK, send("GET", store.CallsPath, ""))
-	require.Equal(t, http.StatusBadRequest, send("GET", platform.WatchPath+"?after=x&wait=1s", ""))
+	require.Equal(t, http.StatusBadRequest, send("GET", objectstore.WatchPath+"?after=x&wait=1s", ""))
 }
 
 func TestCommandServesUntilItsContextEnds(t *testing.T) {
@@ -227,7 +227,7 @@
 	command.SetOut(output)
 	go func() { ended <- command.ExecuteContext(ctx) }()
 	address := strings.TrimSpace(strings.TrimPrefix(<-output, "listening on "))
-	client := &platform.Client{
+	client := &objectstore.Client{
 		Base: netip.MustParseAddrPort(address),
 	}
 	_, err := client.Put(t.Context(), "a", nil, nil)
--- a/internal/standin/store/writes.go
+++ b/internal/standin/store/writes.go
@@ -5,22 +5,22 @@
 	"net/http"
 	"slices"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
-// Put implements [platform.Store].
-func (m *Memory) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
-	m.calls.Add(platform.PutCall)
-	return m.write(ctx, platform.Object{
+// Put implements [objectstore.Store].
+func (m *Memory) Put(ctx context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
+	m.calls.Add(objectstore.PutCall)
+	return m.write(ctx, objectstore.Object{
 		Key:   key,
 		Value: slices.Clone(value),
 	}, condition)
 }
 
-// Delete implements [platform.Store].
-func (m *Memory) Delete(ctx context.Context, key string, condition platform.Condition) error {
-	m.calls.Add(platform.DeleteCall)
-	_, err := m.write(ctx, platform.Object{
+// Delete implements [objectstore.Store].
+func (m *Memory) Delete(ctx context.Context, key string, condition objectstore.Condition) error {
+	m.calls.Add(objectstore.DeleteCall)
+	_, err := m.write(ctx, objectstore.Object{
 		Key:     key,
 		Deleted: true,
 	}, condition)
@@ -28,7 +28,7 @@
 }
 
 // write checks, waits, applies, and answers or loses the answer.
-func (m *Memory) write(ctx context.Context, object platform.Object, condition platform.Condition) (platform.Version, error) {
+func (m *Memory) write(ctx context.Context, object objectstore.Object, condition objectstore.Condition) (objectstore.Version, error) {
 	if err := m.checkUp(object.Key); err != nil {
 		return 0, err
 	}
@@ -54,7 +54,7 @@
 
 // apply writes the object if the condition holds, and tells whether the reply
 // is to be lost.
-func (m *Memory) apply(object platform.Object, condition platform.Condition) (version platform.Version, lost bool, err error) {
+func (m *Memory) apply(object objectstore.Object, condition objectstore.Condition) (version objectstore.Version, lost bool, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	found, exists := m.objects[object.Key]
@@ -63,14 +63,14 @@
 		return 0, false, conflict(object.Key, found.Version, exists)
 	}
 	if object.Deleted && !exists {
-		return 0, false, &platform.NotFoundError{
+		return 0, false, &objectstore.NotFoundError{
 			Key: object.Key,
 		}
 	}
 	m.version++
 	object.Version = m.version
 	if m.objects == nil {
-		m.objects = make(map[string]platform.Object)
+		m.objects = make(map[string]objectstore.Object)
 	}
 	m.objects[object.Key] = object
 	m.announce()
@@ -78,33 +78,33 @@
 }
 
 // holds tells whether the condition allows a write over what was found.
-func holds(condition platform.Condition, found platform.Version, exists bool) bool {
+func holds(condition objectstore.Condition, found objectstore.Version, exists bool) bool {
 	switch condition := condition.(type) {
-	case platform.IfAbsent:
+	case objectstore.IfAbsent:
 		return !exists
-	case platform.IfVersion:
+	case objectstore.IfVersion:
 		return exists && found == condition.Version
-	case platform.Always, nil:
+	case objectstore.Always, nil:
 		return true
 	}
 	return false
 }
 
-func conflict(key string, found platform.Version, exists bool) error {
+func conflict(key string, found objectstore.Version, exists bool) error {
 	if !exists {
 		found = 0
 	}
-	return &platform.ConflictError{
+	return &objectstore.ConflictError{
 		Key:   key,
 		Found: found,
 	}
 }
 
-func checkSize(object platform.Object) error {
-	if len(object.Value) <= platform.MaxValueSize {
+func checkSize(object objectstore.Object) error {
+	if len(object.Value) <= objectstore.MaxValueSize {
 		return nil
 	}
-	return &platform.RefusedError{
+	return &objectstore.RefusedError{
 		Key:    object.Key,
 		Reason: "value is larger than a megabyte",
 		Status: http.StatusRequestEntityTooLarge,
--- a/lease/fence.go
+++ b/lease/fence.go
@@ -7,7 +7,7 @@
 	"sync"
 	"sync/atomic"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Fence guards one object so that only the latest epoch of a lease writes it.
@@ -28,7 +28,7 @@
 // claim is what this fence last wrote or read under its own epoch.
 type claim struct {
 	Epoch   Epoch
-	Version platform.Version
+	Version objectstore.Version
 	Body    []byte
 }
 
@@ -49,7 +49,7 @@
 // It returns a [LapsedError] if the lease isn't held, a [StaleEpochError] if a
 // later epoch has claimed the object, the change's error, or one of the
 // platform. After any error the next call reads the object again; after an
-// [platform.UnknownOutcomeError] that object may hold the change already.
+// [objectstore.UnknownOutcomeError] that object may hold the change already.
 func (f *Fence) Write(ctx context.Context, change Change) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -105,7 +105,7 @@
 
 // put writes under the term's epoch and remembers the version. A conflict
 // while holding a claim means that a later epoch has taken the object over.
-func (f *Fence) put(ctx context.Context, term Term, body []byte, condition platform.Condition) error {
+func (f *Fence) put(ctx context.Context, term Term, body []byte, condition objectstore.Condition) error {
 	value, err := json.Marshal(fenced{
 		Epoch: term.Epoch,
 		Body:  body,
@@ -128,9 +128,9 @@
 }
 
 // load reads the object; a missing one is empty at version zero.
-func (f *Fence) load(ctx context.Context) (fenced, platform.Version, error) {
+func (f *Fence) load(ctx context.Context) (fenced, objectstore.Version, error) {
 	object, err := f.Lease.Store.Get(ctx, f.Key)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return fenced{}, 0, nil
 	}
@@ -145,7 +145,7 @@
 	return found, object.Version, nil
 }
 
-func decode(object platform.Object) (fenced, error) {
+func decode(object objectstore.Object) (fenced, error) {
 	var found fenced
 	if err := json.Unmarshal(object.Value, &found); err != nil {
 		return fenced{}, &RecordError{
@@ -158,7 +158,7 @@
 
 // Body returns the body of a guarded object, for readers that learn of it in
 // another way than [Fence.Read]. Errors are a [RecordError].
-func Body(object platform.Object) ([]byte, error) {
+func Body(object objectstore.Object) ([]byte, error) {
 	found, err := decode(object)
 	return found.Body, err
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -41,7 +41,7 @@
 	"time"
 
 	"trefoilline.example/trefoilline/internal/elapsed"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // DefaultDuration is how long a lease lasts without renewal if none is set.
@@ -64,7 +64,7 @@
 // Lease is one candidate's side of a lease. Its fields are set before first
 // use; its methods are safe for concurrent use.
 type Lease struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Key is the record's key in the store.
 	Key string
 	// Holder names one incarnation of a process: a process that restarts must
@@ -88,7 +88,7 @@
 
 // sighting is a record as first seen at one version.
 type sighting struct {
-	Version platform.Version
+	Version objectstore.Version
 	At      time.Time
 }
 
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -13,12 +13,12 @@
 
 	"trefoilline.example/trefoilline/internal/standin/store"
 	"trefoilline.example/trefoilline/lease"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 const key = "lease/plan"
 
-func candidate(s platform.Store, holder string) *lease.Lease {
+func candidate(s objectstore.Store, holder string) *lease.Lease {
 	return &lease.Lease{
 		Store:  s,
 		Key:    key,
@@ -62,7 +62,7 @@
 			LoseReplies: 1,
 		})
 		l := candidate(memory, "a")
-		require.ErrorAs(t, l.Renew(t.Context()), new(*platform.UnknownOutcomeError))
+		require.ErrorAs(t, l.Renew(t.Context()), new(*objectstore.UnknownOutcomeError))
 		require.Zero(t, l.Remaining())
 		require.NoError(t, l.Renew(t.Context()))
 		term, err := l.Term()
@@ -86,11 +86,11 @@
 // pausing holds each write and its answer back for a while, as a process does
 // that is paused between its check and its write.
 type pausing struct {
-	platform.Store
+	objectstore.Store
 	pause func() time.Duration
 }
 
-func (p pausing) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+func (p pausing) Put(ctx context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
 	time.Sleep(p.pause())
 	version, err := p.Store.Put(ctx, key, value, condition)
 	time.Sleep(p.pause())
@@ -182,7 +182,7 @@
 			_ = fence.Write(ctx, func([]byte) ([]byte, error) { return []byte("step"), nil })
 			continue
 		}
-		_, _ = s.Put(ctx, fence.Key, []byte("step"), platform.Always{})
+		_, _ = s.Put(ctx, fence.Key, []byte("step"), objectstore.Always{})
 	}
 	require.Zero(t, fence.Violations())
 }
@@ -209,16 +209,16 @@
 // recording journals the accepted writes of guarded objects, lost replies
 // included, in the order in which the store accepted them.
 type recording struct {
-	platform.Store
+	objectstore.Store
 	accepts *journal
 	epoch   lease.Epoch
 }
 
-func (r *recording) Put(ctx context.Context, object string, value []byte, condition platform.Condition) (platform.Version, error) {
+func (r *recording) Put(ctx context.Context, object string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
 	r.accepts.mu.Lock()
 	defer r.accepts.mu.Unlock()
 	version, err := r.Store.Put(ctx, object, value, condition)
-	_, unknown := err.(*platform.UnknownOutcomeError)
+	_, unknown := err.(*objectstore.UnknownOutcomeError)
 	accepted := err == nil || unknown && ctx.Err() == nil
 	if object != key && accepted {
 		r.accepts.epochs = append(r.accepts.epochs, r.epoch)
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"trefoilline.example/trefoilline/internal/elapsed"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Renew extends the term, or takes the lease if it is free or its holder has
@@ -56,9 +56,9 @@
 }
 
 // read returns the record and its version, both zero if there is none.
-func (l *Lease) read(ctx context.Context) (record, platform.Version, error) {
+func (l *Lease) read(ctx context.Context) (record, objectstore.Version, error) {
 	object, err := l.Store.Get(ctx, l.Key)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return record{}, 0, nil
 	}
@@ -76,7 +76,7 @@
 }
 
 // successor decides what this candidate may write after the record found.
-func (l *Lease) successor(found record, version platform.Version) (record, error) {
+func (l *Lease) successor(found record, version objectstore.Version) (record, error) {
 	if found.Holder == l.Holder && !found.Released && version != 0 {
 		return found, nil
 	}
@@ -93,7 +93,7 @@
 
 // await returns a HeldError until the record has stood unchanged for longer
 // than its holder may act on it.
-func (l *Lease) await(found record, version platform.Version) error {
+func (l *Lease) await(found record, version objectstore.Version) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -120,7 +120,7 @@
 }
 
 // write stores the record and starts the term at the time before the write.
-func (l *Lease) write(ctx context.Context, next record, condition platform.Condition) error {
+func (l *Lease) write(ctx context.Context, next record, condition objectstore.Condition) error {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return err
@@ -152,11 +152,11 @@
 	l.held = false
 }
 
-func conditionOn(version platform.Version) platform.Condition {
+func conditionOn(version objectstore.Version) objectstore.Condition {
 	if version == 0 {
-		return platform.IfAbsent{}
+		return objectstore.IfAbsent{}
 	}
-	return platform.IfVersion{
+	return objectstore.IfVersion{
 		Version: version,
 	}
 }
--- a/platform/budget_test.go
+++ b/objectstore/budget_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectstore_test
 
 import (
 	"testing"
@@ -8,16 +8,16 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 func TestBudgetRefusesInsteadOfOverrunning(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := &store.Memory{}
-		budgeted := &platform.Budgeted{
+		budgeted := &objectstore.Budgeted{
 			Store:     memory,
 			Directory: memory,
-			Reads: platform.CallRate{
+			Reads: objectstore.CallRate{
 				PerSecond: 2,
 				Burst:     2,
 			},
@@ -33,8 +33,8 @@
 		for range 3 {
 			_, err := budgeted.Machines(t.Context())
 			if err != nil {
-				require.Equal(t, &platform.BudgetError{
-					Kind: platform.MachinesCall,
+				require.Equal(t, &objectstore.BudgetError{
+					Kind: objectstore.MachinesCall,
 				}, err)
 			}
 		}
--- a/platform/client_reads.go
+++ b/objectstore/client_reads.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/objectstore/objectstore.go
@@ -1,5 +1,5 @@
 /*
-Package platform is the client's view of the platform that trefoilline runs
+Package objectstore is the client's view of the store of the platform that trefoilline runs
 on: a versioned object store with conditional updates and watches, and a
 lagging list of hosts and backend servers.
 
@@ -14,15 +14,15 @@
 
 # Usage
 
-	store := &platform.Client{
+	store := &objectstore.Client{
 		Base: netip.MustParseAddrPort("10.0.0.9:7000"),
 	}
 	object, err := store.Get(ctx, "table/head")
-	_, err = store.Put(ctx, "table/head", value, platform.IfVersion{
+	_, err = store.Put(ctx, "table/head", value, objectstore.IfVersion{
 		Version: object.Version,
 	})
 */
-package platform
+package objectstore
 
 import (
 	"context"
--- a/platform/wire.go
+++ b/objectstore/wire.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 // FailureCode says in an answer of the store why a call was not carried out.
 type FailureCode string
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -27,7 +27,7 @@
 	"trefoilline.example/trefoilline/header"
 	backendstandin "trefoilline.example/trefoilline/internal/standin/backend"
 	"trefoilline.example/trefoilline/internal/standin/caller"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 const (
@@ -68,7 +68,7 @@
 
 // machine is one process that the platform lists.
 type machine struct {
-	platform.Machine
+	objectstore.Machine
 	command *exec.Cmd
 	log     *bytes.Buffer
 }
@@ -83,7 +83,7 @@
 		store: freeAddress(t),
 	}
 	w.start("trefoilline-standin", "store", "--listen", w.store.String())
-	w.until("the store answers", func() bool { return w.get("http://"+w.store.String()+platform.MachinesPath) != nil })
+	w.until("the store answers", func() bool { return w.get("http://"+w.store.String()+objectstore.MachinesPath) != nil })
 	for n := range 2 * len(regions) {
 		w.addServer("server-"+strconv.Itoa(n+1), regions[n%len(regions)])
 	}
@@ -121,13 +121,13 @@
 
 func (w *world) addServer(name, region string) {
 	m := &machine{
-		Machine: platform.Machine{
+		Machine: objectstore.Machine{
 			Name:    name,
-			Kind:    platform.BackendServer,
+			Kind:    objectstore.BackendServer,
 			Region:  region,
 			Zone:    region + "-a",
 			Address: freeAddress(w.t),
-			State:   platform.Live,
+			State:   objectstore.Live,
 			Service: "storefront",
 			Slots:   4,
 		},
@@ -139,13 +139,13 @@
 
 func (w *world) addHost(name, region string) *machine {
 	m := &machine{
-		Machine: platform.Machine{
+		Machine: objectstore.Machine{
 			Name:    name,
-			Kind:    platform.EntryHost,
+			Kind:    objectstore.EntryHost,
 			Region:  region,
 			Zone:    region + "-a",
 			Address: freeAddress(w.t),
-			State:   platform.Live,
+			State:   objectstore.Live,
 		},
 	}
 	w.list(m.Machine)
@@ -156,7 +156,7 @@
 }
 
 // list puts a machine on the platform's list.
-func (w *world) list(m platform.Machine) {
+func (w *world) list(m objectstore.Machine) {
 	body, err := json.Marshal(m)
 	require.NoError(w.t, err)
 	w.send(http.MethodPut, "http://"+w.store.String()+"/stand-in/machines/"+m.Name, string(body))
--- a/share/keeper.go
+++ b/share/keeper.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // DefaultKey is where the allocation is stored.
@@ -14,13 +14,13 @@
 
 // Keeper carries the allocation between the store and a holder.
 type Keeper struct {
-	Store  platform.Store
+	Store  objectstore.Store
 	Holder *Holder
 	// Key is the object's key; empty means DefaultKey.
 	Key string
 
 	mutex   sync.Mutex
-	version platform.Version
+	version objectstore.Version
 	last    time.Duration
 	began   bool
 	// wrote is when the last write began.
@@ -55,7 +55,7 @@
 
 func (k *Keeper) read(ctx context.Context, begun time.Duration) error {
 	object, err := k.Store.Get(ctx, k.key())
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return k.create(ctx)
 	}
@@ -83,7 +83,7 @@
 		return err
 	}
 	begun := k.Holder.Stamp()
-	version, err := k.Store.Put(ctx, k.key(), value, platform.IfAbsent{})
+	version, err := k.Store.Put(ctx, k.key(), value, objectstore.IfAbsent{})
 	if err != nil {
 		return k.failed(err)
 	}
@@ -100,7 +100,7 @@
 		return err
 	}
 	begun := k.Holder.Stamp()
-	version, err := k.Store.Put(ctx, k.key(), value, platform.IfVersion{
+	version, err := k.Store.Put(ctx, k.key(), value, objectstore.IfVersion{
 		Version: k.version,
 	})
 	if err == nil {
@@ -115,10 +115,10 @@
 
 // unchanged says whether the error proves that this call wrote nothing.
 func unchanged(err error) bool {
-	var conflict *platform.ConflictError
-	var missing *platform.NotFoundError
-	var refused *platform.RefusedError
-	var unreached *platform.UnreachedError
+	var conflict *objectstore.ConflictError
+	var missing *objectstore.NotFoundError
+	var refused *objectstore.RefusedError
+	var unreached *objectstore.UnreachedError
 	return errors.As(err, &conflict) || errors.As(err, &missing) ||
 		errors.As(err, &refused) || errors.As(err, &unreached)
 }
--- a/share/rules_test.go
+++ b/share/rules_test.go
@@ -11,21 +11,21 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/share"
 )
 
 // slowStore answers a read late with what was stored when it began.
 type slowStore struct {
-	platform.Store
+	objectstore.Store
 	value []byte
 	delay time.Duration
 }
 
-func (s *slowStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *slowStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	value := s.value
 	time.Sleep(s.delay)
-	return platform.Object{
+	return objectstore.Object{
 		Key:     key,
 		Value:   value,
 		Version: 1,
@@ -179,19 +179,19 @@
 }
 
 type countingStore struct {
-	platform.Store
+	objectstore.Store
 	wrote func()
 }
 
-func (s *countingStore) Get(_ context.Context, key string) (platform.Object, error) {
-	return platform.Object{}, &platform.UnreachedError{
+func (s *countingStore) Get(_ context.Context, key string) (objectstore.Object, error) {
+	return objectstore.Object{}, &objectstore.UnreachedError{
 		Key: key,
 	}
 }
 
-func (s *countingStore) Put(_ context.Context, key string, _ []byte, _ platform.Condition) (platform.Version, error) {
+func (s *countingStore) Put(_ context.Context, key string, _ []byte, _ objectstore.Condition) (objectstore.Version, error) {
 	s.wrote()
-	return 0, &platform.UnknownOutcomeError{
+	return 0, &objectstore.UnknownOutcomeError{
 		Key: key,
 	}
 }
--- a/share/store_test.go
+++ b/share/store_test.go
@@ -4,14 +4,14 @@
 	"context"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // memoryStore is the store of a fleet, with faults on command.
 type memoryStore struct {
-	platform.Store
+	objectstore.Store
 	fleet  *fleet
-	object platform.Object
+	object objectstore.Object
 	down   bool
 	// lost is the chance that the reply of a write is lost, in which case the
 	// write takes effect late or not at all.
@@ -39,26 +39,26 @@
 
 func (unreachable) Error() string { return "connection refused" }
 
-func (s *hostStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *hostStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	s.reads++
 	if s.down || s.unreached[s.host] {
-		return platform.Object{}, &platform.UnreachedError{
+		return objectstore.Object{}, &objectstore.UnreachedError{
 			Key:   key,
 			Cause: unreachable{},
 		}
 	}
 	if s.object.Version == 0 {
-		return platform.Object{}, &platform.NotFoundError{
+		return objectstore.Object{}, &objectstore.NotFoundError{
 			Key: key,
 		}
 	}
 	return s.object, nil
 }
 
-func (s *hostStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+func (s *hostStore) Put(_ context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
 	s.writes++
 	if s.down || s.unreached[s.host] {
-		return 0, &platform.UnreachedError{
+		return 0, &objectstore.UnreachedError{
 			Key:   key,
 			Cause: unreachable{},
 		}
@@ -66,7 +66,7 @@
 	if s.lost > 0 && s.fleet.chance.Float64() < s.lost {
 		late := time.Duration(s.fleet.chance.Int64N(int64(30 * time.Second)))
 		s.fleet.after(late, func() { _, _ = s.put(key, value, condition) })
-		return 0, &platform.UnknownOutcomeError{
+		return 0, &objectstore.UnknownOutcomeError{
 			Key:   key,
 			Cause: context.DeadlineExceeded,
 		}
@@ -74,18 +74,18 @@
 	return s.put(key, value, condition)
 }
 
-func (s *memoryStore) put(key string, value []byte, condition platform.Condition) (platform.Version, error) {
-	var expected platform.Version
-	if c, ok := condition.(platform.IfVersion); ok {
+func (s *memoryStore) put(key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
+	var expected objectstore.Version
+	if c, ok := condition.(objectstore.IfVersion); ok {
 		expected = c.Version
 	}
 	if s.object.Version != expected {
-		return 0, &platform.ConflictError{
+		return 0, &objectstore.ConflictError{
 			Key:   key,
 			Found: s.object.Version,
 		}
 	}
-	s.object = platform.Object{
+	s.object = objectstore.Object{
 		Key:     key,
 		Value:   value,
 		Version: s.object.Version + 1,
--- a/steer/fleet_test.go
+++ b/steer/fleet_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"trefoilline.example/trefoilline/backend"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
@@ -169,7 +169,7 @@
 
 // fakeServer is a backend server.
 type fakeServer struct {
-	machine      platform.Machine
+	machine      objectstore.Machine
 	running      int
 	dead         bool
 	leavingSince time.Time
@@ -388,12 +388,12 @@
 	for _, x := range f.user.services {
 		service := x.name
 		for i := range x.servers {
-			m := platform.Machine{
+			m := objectstore.Machine{
 				Name:    fmt.Sprintf("%s-%02d", service, i),
-				Kind:    platform.BackendServer,
+				Kind:    objectstore.BackendServer,
 				Region:  f.user.regions[i%3],
 				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
-				State:   platform.Live,
+				State:   objectstore.Live,
 				Service: service,
 				Slots:   4,
 			}
@@ -423,7 +423,7 @@
 	if !f.faults.noSlots {
 		e.pool.Slots = f
 	}
-	var machines []platform.Machine
+	var machines []objectstore.Machine
 	for _, s := range f.servers {
 		machines = append(machines, s.machine)
 	}
--- a/steer/shared.go
+++ b/steer/shared.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"trefoilline.example/trefoilline/backend"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/table"
 )
@@ -33,7 +33,7 @@
 
 // FleetLimits returns the limits of the links, the shift caps and the regions'
 // slots. The longest is how long a request may run on a backend server.
-func FleetLimits(t table.Table, machines []platform.Machine, longest time.Duration) []share.Limit {
+func FleetLimits(t table.Table, machines []objectstore.Machine, longest time.Duration) []share.Limit {
 	limits := make([]share.Limit, 0, 2*len(t.Links))
 	for _, l := range t.Links {
 		limits = append(limits, rateLimit(LinkLimit(l.From, l.To), l.Rate, l.Burst))
@@ -53,10 +53,10 @@
 }
 
 // slotLimits adds up the slots of the servers that are not leaving.
-func slotLimits(machines []platform.Machine, longest time.Duration) []share.Limit {
+func slotLimits(machines []objectstore.Machine, longest time.Duration) []share.Limit {
 	counts := make(map[string]int)
 	for _, m := range machines {
-		if m.Kind == platform.BackendServer && m.State == platform.Live {
+		if m.Kind == objectstore.BackendServer && m.State == objectstore.Live {
 			counts[backend.SlotLimit(m.Service, m.Region)] += m.Slots
 		}
 	}
--- a/steer/shared_test.go
+++ b/steer/shared_test.go
@@ -6,22 +6,22 @@
 
 	"github.com/stretchr/testify/require"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
 	"trefoilline.example/trefoilline/table"
 )
 
 func TestFleetLimits(t *testing.T) {
-	server := platform.Machine{
-		Kind:    platform.BackendServer,
+	server := objectstore.Machine{
+		Kind:    objectstore.BackendServer,
 		Region:  "accra",
-		State:   platform.Live,
+		State:   objectstore.Live,
 		Service: "storefront",
 		Slots:   4,
 	}
 	leaving := server
-	leaving.State = platform.Leaving
+	leaving.State = objectstore.Leaving
 	current := table.Table{
 		Links: []table.Link{
 			{
@@ -33,7 +33,7 @@
 			},
 		},
 	}
-	limits := steer.FleetLimits(current, []platform.Machine{server, server, leaving}, time.Minute)
+	limits := steer.FleetLimits(current, []objectstore.Machine{server, server, leaving}, time.Minute)
 	require.Equal(t, []share.Limit{
 		{
 			Name: "link/accra/kumasi",
--- a/steer/sharing_test.go
+++ b/steer/sharing_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/backend"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/share"
 	"trefoilline.example/trefoilline/steer"
 )
@@ -19,31 +19,31 @@
 
 // allocationStore keeps the allocation of the limits.
 type allocationStore struct {
-	platform.Store
-	object platform.Object
+	objectstore.Store
+	object objectstore.Object
 }
 
-func (s *allocationStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *allocationStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	if s.object.Version == 0 {
-		return platform.Object{}, &platform.NotFoundError{
+		return objectstore.Object{}, &objectstore.NotFoundError{
 			Key: key,
 		}
 	}
 	return s.object, nil
 }
 
-func (s *allocationStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
-	var expected platform.Version
-	if c, ok := condition.(platform.IfVersion); ok {
+func (s *allocationStore) Put(_ context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
+	var expected objectstore.Version
+	if c, ok := condition.(objectstore.IfVersion); ok {
 		expected = c.Version
 	}
 	if s.object.Version != expected {
-		return 0, &platform.ConflictError{
+		return 0, &objectstore.ConflictError{
 			Key:   key,
 			Found: s.object.Version,
 		}
 	}
-	s.object = platform.Object{
+	s.object = objectstore.Object{
 		Key:     key,
 		Value:   value,
 		Version: expected + 1,
@@ -65,7 +65,7 @@
 			Clock:       func() time.Time { return f.now },
 			Rand:        rand.New(rand.NewPCG(f.random.Uint64(), 0)),
 		}
-		var machines []platform.Machine
+		var machines []objectstore.Machine
 		for _, s := range f.servers {
 			machines = append(machines, s.machine)
 		}
--- a/table/attempt.go
+++ b/table/attempt.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // attempt is the publishing of one edit.
@@ -23,7 +23,7 @@
 // storedHead is the head with the store's version of it, zero if absent.
 type storedHead struct {
 	head   Head
-	stored platform.Version
+	stored objectstore.Version
 }
 
 func (a *attempt) run(ctx context.Context) (Receipt, error) {
@@ -91,9 +91,9 @@
 // conflict on the head means that somebody else was faster: reading again
 // decides.
 func worthRetry(err error) bool {
-	var conflict *platform.ConflictError
-	var unreached *platform.UnreachedError
-	var unknown *platform.UnknownOutcomeError
+	var conflict *objectstore.ConflictError
+	var unreached *objectstore.UnreachedError
+	var unknown *objectstore.UnknownOutcomeError
 	return errors.As(err, &conflict) || errors.As(err, &unreached) || errors.As(err, &unknown)
 }
 
@@ -114,7 +114,7 @@
 
 func (a *attempt) readHead(ctx context.Context) (storedHead, error) {
 	object, err := a.publisher.Store.Get(ctx, HeadKey)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return storedHead{}, nil
 	}
@@ -213,17 +213,17 @@
 // changedNothing says whether the store's error rules out that the write took
 // effect.
 func changedNothing(err error) bool {
-	var conflict *platform.ConflictError
-	var unreached *platform.UnreachedError
-	var refused *platform.RefusedError
+	var conflict *objectstore.ConflictError
+	var unreached *objectstore.UnreachedError
+	var refused *objectstore.RefusedError
 	return errors.As(err, &conflict) || errors.As(err, &unreached) || errors.As(err, &refused)
 }
 
-func headCondition(current storedHead) platform.Condition {
+func headCondition(current storedHead) objectstore.Condition {
 	if current.stored == 0 {
-		return platform.IfAbsent{}
+		return objectstore.IfAbsent{}
 	}
-	return platform.IfVersion{
+	return objectstore.IfVersion{
 		Version: current.stored,
 	}
 }
--- a/table/errors.go
+++ b/table/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // EncodeError reports that an object could not be encoded.
@@ -22,7 +22,7 @@
 }
 
 func (e *TooLargeError) Error() string {
-	return fmt.Sprintf("a part of the table has %d bytes; accepted: up to %d", e.Size, platform.MaxValueSize)
+	return fmt.Sprintf("a part of the table has %d bytes; accepted: up to %d", e.Size, objectstore.MaxValueSize)
 }
 
 // CorruptError reports an object of the store whose content is not what its
--- a/table/follower_test.go
+++ b/table/follower_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 )
 
@@ -56,7 +56,7 @@
 	head := load(t, store).Head
 	for key, object := range store.store.held {
 		for _, value := range []string{"", "{}", string(object.Value[:len(object.Value)-2]) + " }"} {
-			store.store.held[key] = platform.Object{
+			store.store.held[key] = objectstore.Object{
 				Key:   key,
 				Value: []byte(value),
 			}
--- a/table/history.go
+++ b/table/history.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // History returns the manifests of the latest versions, the newest first, at
@@ -66,7 +66,7 @@
 	version, sum := head.Version, head.Manifest
 	for sum != "" {
 		_, m, err := getManifest(ctx, source, version, sum)
-		var missing *platform.NotFoundError
+		var missing *objectstore.NotFoundError
 		if errors.As(err, &missing) && version < head.Version {
 			return nil
 		}
--- a/table/part.go
+++ b/table/part.go
@@ -9,11 +9,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // BlocksPerPart is how many blocks a part holds at most on average. It keeps a
-// part far below [platform.MaxValueSize], and an edit of one block small.
+// part far below [objectstore.MaxValueSize], and an edit of one block small.
 const BlocksPerPart = 2048
 
 // Sum is the SHA-256 of an object's content, in hexadecimal.
@@ -78,7 +78,7 @@
 			Cause: err,
 		}
 	}
-	if len(content) > platform.MaxValueSize {
+	if len(content) > objectstore.MaxValueSize {
 		return encodedPart{}, &TooLargeError{
 			Size: len(content),
 		}
--- a/table/prune.go
+++ b/table/prune.go
@@ -5,7 +5,7 @@
 	"errors"
 	"fmt"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // partShards is how many lists the parts are read in, so that no list holds a
@@ -28,7 +28,7 @@
 // changed since. So what is older than the head and is named by no version that
 // is kept cannot be named by one that comes.
 type Pruner struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Keep is how many versions stay, the one in force included; at least one.
 	Keep int
 	// DryRun counts what may go and deletes nothing.
@@ -69,9 +69,9 @@
 
 // sweep is one run of a pruner.
 type sweep struct {
-	store platform.Store
+	store objectstore.Store
 	// before is the store's version of the head; newer objects stay.
-	before platform.Version
+	before objectstore.Version
 	dryRun bool
 	kept   map[string]bool
 	found  Pruned
@@ -107,8 +107,8 @@
 			continue
 		}
 		err := s.remove(ctx, object)
-		var changed *platform.ConflictError
-		var gone *platform.NotFoundError
+		var changed *objectstore.ConflictError
+		var gone *objectstore.NotFoundError
 		switch {
 		case err == nil:
 			deleted++
@@ -119,11 +119,11 @@
 	return deleted, nil
 }
 
-func (s *sweep) remove(ctx context.Context, object platform.Object) error {
+func (s *sweep) remove(ctx context.Context, object objectstore.Object) error {
 	if s.dryRun {
 		return nil
 	}
-	return s.store.Delete(ctx, object.Key, platform.IfVersion{
+	return s.store.Delete(ctx, object.Key, objectstore.IfVersion{
 		Version: object.Version,
 	})
 }
--- a/table/publish.go
+++ b/table/publish.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 const (
@@ -42,7 +42,7 @@
 
 // Publisher makes new versions of the table.
 type Publisher struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Clock gives the time of publication; nil means [time.Now].
 	Clock func() time.Time
 }
--- a/table/race_test.go
+++ b/table/race_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 )
 
@@ -208,7 +208,7 @@
 		default:
 		}
 		snapshot, err := reader.Load(t.Context(), source)
-		var pruned *platform.NotFoundError
+		var pruned *objectstore.NotFoundError
 		if errors.As(err, &pruned) {
 			// The version was in force when its head was read, and is no longer.
 			r.pruned++
--- a/table/read.go
+++ b/table/read.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // ParallelReads is how many parts a reader asks for at once.
@@ -54,7 +54,7 @@
 
 func getHead(ctx context.Context, source Getter) ([]byte, error) {
 	object, err := source.Get(ctx, HeadKey)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return nil, &NoTableError{}
 	}
--- a/table/snapshot.go
+++ b/table/snapshot.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
-// Getter reads objects: a [platform.Store], or a peer's [Snapshot].
+// Getter reads objects: a [objectstore.Store], or a peer's [Snapshot].
 type Getter interface {
-	// Get returns the object, or a [platform.NotFoundError].
-	Get(ctx context.Context, key string) (platform.Object, error)
+	// Get returns the object, or a [objectstore.NotFoundError].
+	Get(ctx context.Context, key string) (objectstore.Object, error)
 }
 
 // Snapshot is one whole version of the table. It never changes. It serves its
@@ -32,14 +32,14 @@
 	to   int
 }
 
-// Get returns an object of this version, or a [platform.NotFoundError]. Its
+// Get returns an object of this version, or a [objectstore.NotFoundError]. Its
 // versions are zero: they are the store's own.
-func (s *Snapshot) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *Snapshot) Get(_ context.Context, key string) (objectstore.Object, error) {
 	content, err := s.content(key)
 	if err != nil {
-		return platform.Object{}, err
+		return objectstore.Object{}, err
 	}
-	return platform.Object{
+	return objectstore.Object{
 		Key:   key,
 		Value: content,
 	}, nil
@@ -63,7 +63,7 @@
 		})
 		return part.content, err
 	}
-	return nil, &platform.NotFoundError{
+	return nil, &objectstore.NotFoundError{
 		Key: key,
 	}
 }
--- a/table/store_test.go
+++ b/table/store_test.go
@@ -11,15 +11,15 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 )
 
 // objects is the content of the store that several clients share.
 type objects struct {
 	mu      sync.Mutex
-	version platform.Version
-	held    map[string]platform.Object
+	version objectstore.Version
+	held    map[string]objectstore.Object
 	puts    int
 	gets    int
 	written int
@@ -48,7 +48,7 @@
 func newStore() *client {
 	return &client{
 		store: &objects{
-			held: make(map[string]platform.Object),
+			held: make(map[string]objectstore.Object),
 		},
 	}
 }
@@ -86,11 +86,11 @@
 	}
 	delay(random, 20*time.Millisecond)
 	if random.Float64() < c.unreached || ctx.Err() != nil {
-		return &platform.UnreachedError{
+		return &objectstore.UnreachedError{
 			Key: key,
 		}
 	}
-	unknown := &platform.UnknownOutcomeError{
+	unknown := &objectstore.UnknownOutcomeError{
 		Key:   key,
 		Cause: context.DeadlineExceeded,
 	}
@@ -109,13 +109,13 @@
 	return err
 }
 
-func (c *client) Get(ctx context.Context, key string) (platform.Object, error) {
-	var object platform.Object
+func (c *client) Get(ctx context.Context, key string) (objectstore.Object, error) {
+	var object objectstore.Object
 	err := c.call(ctx, key, false, func() error {
 		var found bool
 		c.store.gets++
 		if object, found = c.store.held[key]; !found {
-			return &platform.NotFoundError{
+			return &objectstore.NotFoundError{
 				Key: key,
 			}
 		}
@@ -136,7 +136,7 @@
 	return json.Marshal(head)
 }
 
-func (c *client) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+func (c *client) Put(ctx context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
 	if c.beforePut != nil {
 		c.beforePut(key)
 	}
@@ -144,20 +144,20 @@
 		held, found := c.store.held[key]
 		c.store.puts++
 		if !holds(condition, held, found) {
-			return &platform.ConflictError{
+			return &objectstore.ConflictError{
 				Key:   key,
 				Found: held.Version,
 			}
 		}
-		if len(value) > platform.MaxValueSize {
-			return &platform.RefusedError{
+		if len(value) > objectstore.MaxValueSize {
+			return &objectstore.RefusedError{
 				Key:    key,
 				Reason: "too large",
 			}
 		}
 		c.store.version++
 		c.store.written += len(value)
-		c.store.held[key] = platform.Object{
+		c.store.held[key] = objectstore.Object{
 			Key:     key,
 			Value:   slices.Clone(value),
 			Version: c.store.version,
@@ -168,21 +168,21 @@
 	return 0, err
 }
 
-func holds(condition platform.Condition, held platform.Object, found bool) bool {
+func holds(condition objectstore.Condition, held objectstore.Object, found bool) bool {
 	switch wanted := condition.(type) {
-	case platform.IfAbsent:
+	case objectstore.IfAbsent:
 		return !found
-	case platform.IfVersion:
+	case objectstore.IfVersion:
 		return found && held.Version == wanted.Version
 	}
 	return true
 }
 
-func (c *client) Delete(ctx context.Context, key string, condition platform.Condition) error {
+func (c *client) Delete(ctx context.Context, key string, condition objectstore.Condition) error {
 	return c.call(ctx, key, true, func() error {
 		held, found := c.store.held[key]
 		if !holds(condition, held, found) {
-			return &platform.ConflictError{
+			return &objectstore.ConflictError{
 				Key:   key,
 				Found: held.Version,
 			}
@@ -193,22 +193,22 @@
 	})
 }
 
-func (c *client) List(ctx context.Context, prefix string) ([]platform.Object, error) {
-	var found []platform.Object
+func (c *client) List(ctx context.Context, prefix string) ([]objectstore.Object, error) {
+	var found []objectstore.Object
 	err := c.call(ctx, prefix, false, func() error {
 		for key, object := range c.store.held {
 			if strings.HasPrefix(key, prefix) {
 				found = append(found, object)
 			}
 		}
-		slices.SortFunc(found, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+		slices.SortFunc(found, func(a, b objectstore.Object) int { return strings.Compare(a.Key, b.Key) })
 		return nil
 	})
 	return found, err
 }
 
-func (c *client) Watch(context.Context, string, platform.Version, time.Duration) (platform.Changes, error) {
-	return platform.Changes{}, &platform.RefusedError{
+func (c *client) Watch(context.Context, string, objectstore.Version, time.Duration) (objectstore.Changes, error) {
+	return objectstore.Changes{}, &objectstore.RefusedError{
 		Reason: "not in this test",
 	}
 }
--- a/table/torn_test.go
+++ b/table/torn_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 )
 
@@ -45,11 +45,11 @@
 		key := fmt.Sprintf("in-place/%d", i)
 		for {
 			object, err := store.Get(ctx, key)
-			condition := platform.Condition(platform.IfVersion{
+			condition := objectstore.Condition(objectstore.IfVersion{
 				Version: object.Version,
 			})
 			if err != nil {
-				condition = platform.IfAbsent{}
+				condition = objectstore.IfAbsent{}
 			}
 			if _, err = store.Put(ctx, key, []byte(strconv.Itoa(number)), condition); err == nil {
 				break
--- a/table/version.go
+++ b/table/version.go
@@ -6,7 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // writeVersion writes the parts that the version in force does not have, then
@@ -91,7 +91,7 @@
 		if try > 0 && a.written(ctx, from, key) {
 			return nil
 		}
-		_, err := a.publisher.Store.Put(ctx, key, content, platform.Always{})
+		_, err := a.publisher.Store.Put(ctx, key, content, objectstore.Always{})
 		if err == nil || !worthRetry(err) {
 			return err
 		}
--- a/team/bench_test.go
+++ b/team/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/team"
 )
 
@@ -57,8 +57,8 @@
 			var holder team.Holder
 			view, key := manyKeys(b, number)
 			holder.Merge(view)
-			changes := platform.Changes{
-				Objects: []platform.Object{
+			changes := objectstore.Changes{
+				Objects: []objectstore.Object{
 					{
 						Key:     team.ObjectKey(key.Hash()),
 						Deleted: true,
--- a/team/holder.go
+++ b/team/holder.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Holder keeps a host's view of the keys. The zero value is ready and safe for
@@ -33,12 +33,12 @@
 }
 
 // Update takes in the changes of a watch; see [View.Update].
-func (h *Holder) Update(changes platform.Changes, confirmed time.Time) {
+func (h *Holder) Update(changes objectstore.Changes, confirmed time.Time) {
 	h.replace(func(v View) View { return v.Update(changes, confirmed) })
 }
 
 // Refresh takes in a full list; see [View.Refresh].
-func (h *Holder) Refresh(objects []platform.Object, confirmed time.Time) {
+func (h *Holder) Refresh(objects []objectstore.Object, confirmed time.Time) {
 	h.replace(func(v View) View { return v.Refresh(objects, confirmed) })
 }
 
--- a/team/issue.go
+++ b/team/issue.go
@@ -7,7 +7,7 @@
 	"io"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/table"
 )
 
@@ -20,7 +20,7 @@
 
 // Office issues and withdraws keys.
 type Office struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Clock gives the times in records; nil means [time.Now].
 	Clock func() time.Time
 	// Random gives the secrets; nil means the system's random source.
@@ -75,8 +75,8 @@
 		hash: record.Hash,
 	}
 	return attempts.run(ctx, func() error {
-		_, err := o.Store.Put(ctx, ObjectKey(record.Hash), value, platform.IfAbsent{})
-		var exists *platform.ConflictError
+		_, err := o.Store.Put(ctx, ObjectKey(record.Hash), value, objectstore.IfAbsent{})
+		var exists *objectstore.ConflictError
 		if errors.As(err, &exists) {
 			return nil
 		}
@@ -116,7 +116,7 @@
 		if announced || err != nil {
 			return err
 		}
-		_, err = o.Store.Put(ctx, HeadKey, []byte(hash.String()), platform.Always{})
+		_, err = o.Store.Put(ctx, HeadKey, []byte(hash.String()), objectstore.Always{})
 		return err
 	})
 }
@@ -129,7 +129,7 @@
 		return false, err
 	}
 	head, err := o.Store.Get(ctx, HeadKey)
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return false, nil
 	}
@@ -138,7 +138,7 @@
 
 func (o *Office) withdraw(ctx context.Context, hash Hash) (Record, error) {
 	object, err := o.Store.Get(ctx, ObjectKey(hash))
-	var missing *platform.NotFoundError
+	var missing *objectstore.NotFoundError
 	if errors.As(err, &missing) {
 		return Record{}, &NoSuchKeyError{
 			Hash: hash,
@@ -158,7 +158,7 @@
 			Cause: err,
 		}
 	}
-	_, err = o.Store.Put(ctx, ObjectKey(hash), value, platform.IfVersion{
+	_, err = o.Store.Put(ctx, ObjectKey(hash), value, objectstore.IfVersion{
 		Version: object.Version,
 	})
 	return record, err
--- a/team/list.go
+++ b/team/list.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
-// Lister reads the store's records; every [platform.Store] is one.
+// Lister reads the store's records; every [objectstore.Store] is one.
 type Lister interface {
 	// List returns all objects whose key starts with the prefix.
-	List(ctx context.Context, prefix string) ([]platform.Object, error)
+	List(ctx context.Context, prefix string) ([]objectstore.Object, error)
 }
 
 // List returns the records of all keys, withdrawn ones too, in the order of
--- a/team/record.go
+++ b/team/record.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Prefix starts the keys of the store under which the records lie.
@@ -30,7 +30,7 @@
 func ObjectKey(h Hash) string { return Prefix + h.String() }
 
 // ParseRecord reads an object of the store. Errors are a [CorruptError].
-func ParseRecord(object platform.Object) (Record, error) {
+func ParseRecord(object objectstore.Object) (Record, error) {
 	corrupt := func(cause error) error {
 		return &CorruptError{
 			ObjectKey: object.Key,
--- a/team/retrier.go
+++ b/team/retrier.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // retrier sends a call whose repetition is harmless until its outcome is known.
@@ -34,13 +34,13 @@
 
 // again says whether the call may end otherwise next time.
 func (r *retrier) again(err error) bool {
-	var unknown *platform.UnknownOutcomeError
+	var unknown *objectstore.UnknownOutcomeError
 	if errors.As(err, &unknown) {
 		r.uncertain = true
 		return true
 	}
-	var unreached *platform.UnreachedError
-	var conflict *platform.ConflictError
+	var unreached *objectstore.UnreachedError
+	var conflict *objectstore.ConflictError
 	return errors.As(err, &unreached) || errors.As(err, &conflict)
 }
 
--- a/team/team_test.go
+++ b/team/team_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/team"
 )
 
@@ -20,61 +20,61 @@
 // lossyStore is a store whose every lostEach-th write loses its answer after it took
 // effect; zero loses none.
 type lossyStore struct {
-	platform.Store
-	held     map[string]platform.Object
-	version  platform.Version
+	objectstore.Store
+	held     map[string]objectstore.Object
+	version  objectstore.Version
 	puts     int
 	lostEach int
 }
 
 func newStore() *lossyStore {
 	return &lossyStore{
-		held: make(map[string]platform.Object),
+		held: make(map[string]objectstore.Object),
 	}
 }
 
-func (s *lossyStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *lossyStore) Get(_ context.Context, key string) (objectstore.Object, error) {
 	object, found := s.held[key]
 	if !found {
-		return object, &platform.NotFoundError{
+		return object, &objectstore.NotFoundError{
 			Key: key,
 		}
 	}
 	return object, nil
 }
 
-func (s *lossyStore) Put(_ context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+func (s *lossyStore) Put(_ context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
 	held, found := s.held[key]
 	refused := false
 	switch wanted := condition.(type) {
-	case platform.IfVersion:
+	case objectstore.IfVersion:
 		refused = wanted.Version != held.Version
-	case platform.IfAbsent:
+	case objectstore.IfAbsent:
 		refused = found
 	}
 	if refused {
-		return 0, &platform.ConflictError{
+		return 0, &objectstore.ConflictError{
 			Key:   key,
 			Found: held.Version,
 		}
 	}
 	s.version++
 	s.puts++
-	s.held[key] = platform.Object{
+	s.held[key] = objectstore.Object{
 		Key:     key,
 		Value:   value,
 		Version: s.version,
 	}
 	if s.lostEach > 0 && s.puts%s.lostEach == 0 {
-		return 0, &platform.UnknownOutcomeError{
+		return 0, &objectstore.UnknownOutcomeError{
 			Key: key,
 		}
 	}
 	return s.version, nil
 }
 
-func (s *lossyStore) List(_ context.Context, prefix string) ([]platform.Object, error) {
-	var found []platform.Object
+func (s *lossyStore) List(_ context.Context, prefix string) ([]objectstore.Object, error) {
+	var found []objectstore.Object
 	for key, object := range s.held {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, object)
--- a/team/view.go
+++ b/team/view.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // Standing is what a view holds of one key.
@@ -15,7 +15,7 @@
 	Team      string `json:"team"`
 	Withdrawn bool   `json:"withdrawn,omitempty"`
 	// Version is the store's version of the record.
-	Version platform.Version `json:"version"`
+	Version objectstore.Version `json:"version"`
 }
 
 // View is what a host knows of the keys at one moment. It never changes; every
@@ -24,7 +24,7 @@
 type View struct {
 	standings map[Hash]Standing
 	// Version is the store's version that the view includes all changes up to.
-	Version platform.Version
+	Version objectstore.Version
 	// Confirmed is the latest time, on this host's clock, up to which the view
 	// is known to include all withdrawals.
 	Confirmed time.Time
@@ -70,7 +70,7 @@
 }
 
 // NewView makes a view of the standings that a peer sent.
-func NewView(standings []Standing, version platform.Version, confirmed time.Time) View {
+func NewView(standings []Standing, version objectstore.Version, confirmed time.Time) View {
 	v := View{
 		standings: make(map[Hash]Standing, len(standings)),
 		Version:   version,
@@ -99,7 +99,7 @@
 // deleted counts as withdrawn: nothing of ours deletes one. The view is confirmed
 // up to when the watch was asked for, not when its answer came: a withdrawal may
 // have been accepted while the answer was on its way.
-func (v View) Update(changes platform.Changes, confirmed time.Time) View {
+func (v View) Update(changes objectstore.Changes, confirmed time.Time) View {
 	next := v.copy()
 	for _, object := range changes.Objects {
 		next.take(object)
@@ -113,7 +113,7 @@
 // A key that the list lacks counts as withdrawn, unless its record is newer than
 // everything listed: then a peer told of it while the list was on its way. The
 // view is confirmed up to when the list was asked for.
-func (v View) Refresh(objects []platform.Object, confirmed time.Time) View {
+func (v View) Refresh(objects []objectstore.Object, confirmed time.Time) View {
 	next := v.copy()
 	listed := make(map[Hash]bool, len(objects))
 	for _, object := range objects {
@@ -133,8 +133,8 @@
 	return next
 }
 
-func newestOf(objects []platform.Object) platform.Version {
-	var newest platform.Version
+func newestOf(objects []objectstore.Object) objectstore.Version {
+	var newest objectstore.Version
 	for _, object := range objects {
 		newest = max(newest, object.Version)
 	}
@@ -163,7 +163,7 @@
 
 // take takes in an object of the store. One that cannot be read is counted, and
 // its key is refused from then on: it may be a withdrawal.
-func (v *View) take(object platform.Object) (Hash, bool) {
+func (v *View) take(object objectstore.Object) (Hash, bool) {
 	hash, err := ParseHash(strings.TrimPrefix(object.Key, Prefix))
 	if err != nil {
 		v.Corrupt++
--- a/team/view_test.go
+++ b/team/view_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/team"
 )
 
@@ -18,7 +18,7 @@
 type fleet struct {
 	store *lossyStore
 	// past holds what the store held at earlier moments.
-	past  [][]platform.Object
+	past  [][]objectstore.Object
 	hosts []*team.Holder
 	// keys are in the order of their issue.
 	keys []team.Key
@@ -33,12 +33,12 @@
 	}
 }
 
-func (f *fleet) listed() []platform.Object {
+func (f *fleet) listed() []objectstore.Object {
 	objects, err := f.store.List(context.Background(), team.Prefix)
 	if err != nil {
 		panic(err)
 	}
-	slices.SortFunc(objects, func(a, b platform.Object) int { return int(a.Version) - int(b.Version) })
+	slices.SortFunc(objects, func(a, b objectstore.Object) int { return int(a.Version) - int(b.Version) })
 	return objects
 }
 
@@ -66,8 +66,8 @@
 
 // watch brings a host the changes after a version, which may be long known.
 func (f *fleet) watch(t *rapid.T) {
-	after := platform.Version(rapid.Uint64Range(0, uint64(f.store.version)).Draw(t, "after"))
-	changes := platform.Changes{
+	after := objectstore.Version(rapid.Uint64Range(0, uint64(f.store.version)).Draw(t, "after"))
+	changes := objectstore.Changes{
 		Next: f.store.version,
 	}
 	for _, object := range f.listed() {
@@ -175,8 +175,8 @@
 	var withdrawn *team.WithdrawnKeyError
 	_, err = view.Refresh(newer, noon).Verify(first.Reveal())
 	require.ErrorAs(t, err, &withdrawn)
-	_, err = view.Update(platform.Changes{
-		Objects: []platform.Object{
+	_, err = view.Update(objectstore.Changes{
+		Objects: []objectstore.Object{
 			{
 				Key:     team.ObjectKey(firstRecord.Hash),
 				Deleted: true,
@@ -199,7 +199,7 @@
 	object := kept.held[team.ObjectKey(record.Hash)]
 	object.Value = []byte("{")
 	kept.held[object.Key] = object
-	kept.held[team.Prefix+"x"] = platform.Object{
+	kept.held[team.Prefix+"x"] = objectstore.Object{
 		Key: team.Prefix + "x",
 	}
 	view := kept.view(t)
--- a/ticket/claim.go
+++ b/ticket/claim.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 )
 
 // MaxKeyLength is the longest key that a caller may choose, in bytes.
@@ -22,7 +22,7 @@
 // Claims admits requests under keys that callers chose themselves. Each costs a
 // conditional create in the store, and an update once its result is known.
 type Claims struct {
-	Store platform.Store
+	Store objectstore.Store
 	// Prefix starts the store's keys; [DefaultClaimPrefix] if empty.
 	Prefix string
 	// Clock dates the claims; [time.Now] if nil.
@@ -43,7 +43,7 @@
 	claims  *Claims
 	key     string
 	claim   claim
-	version platform.Version
+	version objectstore.Version
 }
 
 func (*Claimed) decision() {}
@@ -66,7 +66,7 @@
 			At:     c.now(),
 		},
 	}
-	version, err := c.put(ctx, mine.key, mine.claim, platform.IfAbsent{})
+	version, err := c.put(ctx, mine.key, mine.claim, objectstore.IfAbsent{})
 	if err == nil {
 		mine.version = version
 		return mine, nil
@@ -77,8 +77,8 @@
 // resolve reads who holds the claim after a create that failed or whose reply
 // was lost.
 func (c *Claims) resolve(ctx context.Context, mine *Claimed, cause error) (Decision, error) {
-	var conflict *platform.ConflictError
-	var unknown *platform.UnknownOutcomeError
+	var conflict *objectstore.ConflictError
+	var unknown *objectstore.UnknownOutcomeError
 	if !errors.As(cause, &conflict) && !errors.As(cause, &unknown) {
 		return nil, &ClaimError{
 			Cause: cause,
@@ -109,7 +109,7 @@
 // key free. If the store can't be written, later requests under the key are
 // told that it is running, and don't run.
 func (c *Claimed) Settle(ctx context.Context, result Result) error {
-	condition := platform.IfVersion{
+	condition := objectstore.IfVersion{
 		Version: c.version,
 	}
 	if result == NotRun {
@@ -133,7 +133,7 @@
 		if json.Unmarshal(o.Value, &held) == nil && c.now().Sub(held.At) <= age {
 			continue
 		}
-		condition := platform.IfVersion{
+		condition := objectstore.IfVersion{
 			Version: o.Version,
 		}
 		if err := c.Store.Delete(ctx, o.Key, condition); err != nil {
@@ -144,7 +144,7 @@
 	return swept, nil
 }
 
-func (c *Claims) put(ctx context.Context, key string, value claim, condition platform.Condition) (platform.Version, error) {
+func (c *Claims) put(ctx context.Context, key string, value claim, condition objectstore.Condition) (objectstore.Version, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return 0, err
--- a/ticket/claim_test.go
+++ b/ticket/claim_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"trefoilline.example/trefoilline/internal/standin/store"
-	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/ticket"
 )
 
@@ -31,12 +31,12 @@
 	delay time.Duration
 }
 
-func (s farStore) Put(ctx context.Context, key string, value []byte, condition platform.Condition) (platform.Version, error) {
+func (s farStore) Put(ctx context.Context, key string, value []byte, condition objectstore.Condition) (objectstore.Version, error) {
 	time.Sleep(s.delay)
 	return s.Memory.Put(ctx, key, value, condition)
 }
 
-func (s farStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s farStore) Get(ctx context.Context, key string) (objectstore.Object, error) {
 	time.Sleep(s.delay)
 	return s.Memory.Get(ctx, key)
 }
