--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -39,7 +39,7 @@
 		defer t.end()
 		return t.unknown(Crossed, cause)
 	}
-	if reason, isRefusal := refusal(response, t.request.Name); isRefusal {
+	if reason, isRefusal := t.refusal(response); isRefusal {
 		defer t.end()
 		return t.request.settle(&refused{
 			reason: reason,
@@ -51,13 +51,13 @@
 			Host: t.server,
 		})
 	}
-	if t.request.Method != http.MethodHead && isUnbounded(response) {
+	if t.request.Method != http.MethodHead && isUnbounded(response) && !t.mayEndWithConnection(response) {
 		defer t.end()
 		return t.unknown(Unbounded, &UnboundedAnswerError{
 			Server: t.server,
 		})
 	}
-	if response.Header.Get(header.Request) != "" {
+	if response.Header.Get(t.client.dialect().Request) != "" {
 		t.client.keep(t.server)
 	}
 	t.expose()
@@ -68,7 +68,7 @@
 // without a name counts as another's if the backend server is known to echo
 // names, or is an entry host.
 func (t *try) misdirected(response *http.Response) error {
-	echoed := response.Header.Get(header.Request)
+	echoed := response.Header.Get(t.client.dialect().Request)
 	if echoed == t.request.Name || echoed == "" && !t.echoes && !t.request.ToHost {
 		return nil
 	}
@@ -81,14 +81,24 @@
 
 // refusal returns why the backend server did not run the request. A refusal
 // counts only if it names the request.
-func refusal(response *http.Response, name string) (header.Reason, bool) {
-	reason := response.Header.Get(header.NotRun)
+func (t *try) refusal(response *http.Response) (header.Reason, bool) {
+	dialect := t.client.dialect()
+	reason := response.Header.Get(dialect.NotRun)
 	isRefusing := response.StatusCode == http.StatusServiceUnavailable ||
 		response.StatusCode == http.StatusTooManyRequests
-	isNamed := name != "" && response.Header.Get(header.Request) == name
+	if dialect.Target != "" && response.StatusCode == http.StatusMisdirectedRequest {
+		reason, isRefusing = string(Misdirected), true
+	}
+	name := t.request.Name
+	isNamed := name != "" && response.Header.Get(dialect.Request) == name
 	return header.Reason(reason), reason != "" && isRefusing && isNamed
 }
 
+// mayEndWithConnection tells whether an answer without a length is good.
+func (t *try) mayEndWithConnection(response *http.Response) bool {
+	return t.client.Unbounded && response.StatusCode != http.StatusSwitchingProtocols
+}
+
 // isUnbounded tells whether the answer ends with its connection.
 func isUnbounded(response *http.Response) bool {
 	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 ||
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"trefoilline.example/trefoilline/header"
 )
 
 // The settings of a client that are not set.
@@ -54,6 +56,15 @@
 	StallTimeout time.Duration
 	// Dial opens connections; a [net.Dialer] if nil.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Dialect names the headers; [header.Own] if nil.
+	Dialect *header.Dialect
+	// KeptForOnce lets requests that may run only once use connections that were
+	// open before. Such a connection may have gone silent, and what became of
+	// the request is then not known; a new one costs a round trip.
+	KeptForOnce bool
+	// Unbounded lets answers pass that end with their connection. A connection
+	// that is reset still breaks them.
+	Unbounded bool
 	// Clock tells the time left until deadlines; [time.Now] if nil.
 	Clock func() time.Time
 	// Violated is told of each broken invariant. It may be nil.
@@ -117,6 +128,13 @@
 	}
 }
 
+func (c *Client) dialect() *header.Dialect {
+	if c.Dialect == nil {
+		return &header.Own
+	}
+	return c.Dialect
+}
+
 func (c *Client) now() time.Time {
 	if c.Clock == nil {
 		return time.Now()
--- a/exchange/outcome.go
+++ b/exchange/outcome.go
@@ -40,6 +40,8 @@
 	NotSent header.Reason = "not-sent"
 	// BodySpent: the request's body is a stream that an earlier try has read.
 	BodySpent header.Reason = "body-spent"
+	// Misdirected: another backend server has the address.
+	Misdirected header.Reason = "misdirected"
 	// Withheld: the request was not sent at all.
 	Withheld header.Reason = "withheld"
 	// Cancelled: the caller went away.
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -23,6 +23,9 @@
 	// Key is the key that the caller presented, if any. Whatever holds it is
 	// removed, besides all that is known to carry keys.
 	Key string
+	// Added holds headers that the system adds for the next try, in place of the
+	// caller's.
+	Added http.Header
 	// Idempotent requests may run more than once. The zero value may not.
 	Idempotent bool
 	// ToHost marks a request that goes to another entry host: keys and tickets
@@ -119,10 +122,10 @@
 
 // mayUseKept tells whether the request may go on a connection that was open
 // before.
-func (r *Request) mayUseKept() bool {
+func (r *Request) mayUseKept(evenOnce bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.Idempotent && !r.silenced
+	return (r.Idempotent || evenOnce) && !r.silenced
 }
 
 // expose notes that a try may have run.
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -70,7 +70,7 @@
 		span:    timeout,
 		expired: func() { t.silent(timeout) },
 	}
-	t.transport, t.echoes = c.transport(server, request.mayUseKept())
+	t.transport, t.echoes = c.transport(server, request.mayUseKept(c.KeptForOnce))
 	inner, cancel := context.WithCancelCause(ctx)
 	t.cancel = cancel
 	trace := &httptrace.ClientTrace{
@@ -120,10 +120,17 @@
 		ProtoMinor: 1,
 	}
 	t.setBody(outgoing)
-	outgoing.Header.Set(header.Request, r.Name)
+	dialect := t.client.dialect()
+	if !r.ToHost {
+		outgoing.Header.Del(dialect.Credential)
+	}
+	for name, values := range r.Added {
+		outgoing.Header[name] = values
+	}
+	outgoing.Header.Set(dialect.Request, r.Name)
 	if deadline, isSet := ctx.Deadline(); isSet {
 		left := deadline.Sub(t.client.now())
-		outgoing.Header.Set(header.Deadline, header.FormatDeadline(left))
+		outgoing.Header.Set(dialect.Deadline, dialect.FormatDeadline(left))
 	}
 	return outgoing.WithContext(ctx)
 }
--- /dev/null
+++ b/intake/budget.go
@@ -0,0 +1,73 @@
+package intake
+
+import (
+	"sync"
+	"time"
+
+	"trefoilline.example/trefoilline/meter"
+)
+
+// Budget bounds the sends beyond the first of each request, by service, over all
+// hosts: a share of the requests and a fixed number in a window. Each host uses its
+// part. A nil budget allows none.
+type Budget struct {
+	// Ratio is how many sends each request pays for.
+	Ratio float64
+	// Slack is how many more there may be in a window.
+	Slack float64
+	// Hosts returns how many hosts share the slack.
+	Hosts func() int
+	// Clock tells the time; [time.Now] if nil.
+	Clock func() time.Time
+
+	mu      sync.Mutex
+	buckets map[string]*meter.Bucket
+}
+
+// safety is the part of the budget that is used, since hosts that come and go
+// count each other late.
+const safety = 0.7
+
+// First notes a request.
+func (b *Budget) First(service string) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bucket(service).Add(safety * b.Ratio)
+}
+
+// Retry pays for one more send, or reports false.
+func (b *Budget) Retry(service string) bool {
+	if b == nil {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.bucket(service).Take(b.now())
+}
+
+func (b *Budget) bucket(service string) *meter.Bucket {
+	if b.buckets == nil {
+		b.buckets = make(map[string]*meter.Bucket)
+	}
+	burst := max(safety*b.Slack/float64(max(b.Hosts(), 1)), 1)
+	k, known := b.buckets[service]
+	if !known {
+		k = &meter.Bucket{}
+		b.buckets[service] = k
+	}
+	k.Set(b.now(), 0, burst)
+	if !known {
+		k.Add(burst)
+	}
+	return k
+}
+
+func (b *Budget) now() time.Time {
+	if b.Clock == nil {
+		return time.Now()
+	}
+	return b.Clock()
+}
--- /dev/null
+++ b/intake/call.go
@@ -0,0 +1,199 @@
+package intake
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/placement"
+	"trefoilline.example/trefoilline/retry"
+	"trefoilline.example/trefoilline/routing"
+)
+
+// call is one request on its way through the host.
+type call struct {
+	handler *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	start   time.Time
+	index   *routing.Index
+	route   *routing.Route
+	service string
+	// team is nil on open routes without a key.
+	team   *routing.Team
+	key    string
+	ctx    context.Context
+	cancel context.CancelFunc
+	// deadline is when the caller must have an answer.
+	deadline time.Time
+	request  *exchange.Request
+	// met names the backend servers that the request was sent to.
+	met []string
+	// ran counts those of them that may have run it.
+	ran int
+}
+
+// serve takes the request through all steps.
+func (c *call) serve() {
+	if err := c.admit(); err != nil {
+		c.refuse(err)
+		return
+	}
+	c.finish(c.forward())
+}
+
+// admit does what comes before a backend server is looked for.
+func (c *call) admit() error {
+	for _, step := range []func() error{
+		c.findRoute,
+		c.findTeam,
+		c.setDeadline,
+		c.readBody,
+		c.takeRate,
+	} {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *call) findRoute() error {
+	c.index = c.handler.index.Load()
+	if c.index == nil {
+		return &StartingError{}
+	}
+	route, found := c.index.Route(c.r.Host, c.r.URL.EscapedPath())
+	if !found {
+		return &NoRouteError{
+			Host: c.r.Host,
+			Path: c.r.URL.Path,
+		}
+	}
+	c.route = route
+	c.service = c.handler.splits.choose(route)
+	return nil
+}
+
+// findTeam checks the key of this request; that an earlier one on the same
+// connection had a good key says nothing.
+func (c *call) findTeam() error {
+	c.key = c.handler.Dialect.ReadKey(c.r)
+	team, known := c.index.Team(c.key)
+	if known {
+		c.team = team
+		return nil
+	}
+	if c.route.Open {
+		return nil
+	}
+	return &UnknownKeyError{}
+}
+
+// setDeadline bounds the request by what the caller and the operators state.
+func (c *call) setDeadline() error {
+	left := c.handler.Dialect.ReadTimeLeft(c.r)
+	if left <= 0 || c.route.Timeout > 0 && left > c.route.Timeout {
+		left = c.route.Timeout
+	}
+	c.deadline = c.start.Add(left)
+	c.ctx, c.cancel = context.WithDeadline(c.r.Context(), c.deadline)
+	return nil
+}
+
+// readBody reads the request, as far as it is kept in memory.
+func (c *call) readBody() error {
+	limit := c.index.Limits.BodyBytes
+	if limit > 0 && c.r.Body != nil {
+		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
+	}
+	c.request = exchange.FromHTTP(c.r, c.r.Header.Get(c.handler.Dialect.Request))
+	c.request.Key = c.key
+	c.request.Idempotent = c.route.Repeat == routing.Idempotent
+	c.request.Header = c.headers()
+	stream, isStream := c.request.Body.(*exchange.Stream)
+	if !isStream {
+		return nil
+	}
+	body, err := exchange.Buffer(stream, MaxBuffered)
+	if err != nil {
+		return &BodyError{
+			Cause: err,
+		}
+	}
+	c.request.Body = body
+	return nil
+}
+
+// headers returns the caller's headers without those that only this host sets.
+func (c *call) headers() http.Header {
+	headers := c.r.Header.Clone()
+	headers.Del(c.handler.Dialect.Target)
+	headers.Del(c.handler.Dialect.Team)
+	headers.Del(c.handler.Dialect.Deadline)
+	return headers
+}
+
+func (c *call) takeRate() error {
+	c.handler.demand.add(c.route.Name, c.start)
+	if c.team == nil {
+		return nil
+	}
+	if wait, ok := c.handler.Book.Take(c.team.Name); !ok {
+		return &OverRateError{
+			Team: c.team.Name,
+			Wait: wait,
+		}
+	}
+	return nil
+}
+
+// want is what the request needs of a backend server.
+func (c *call) want() placement.Want {
+	return placement.Want{
+		Service: c.service,
+		Route:   c.route.Name,
+		Object:  c.object(),
+		Regions: c.regions(),
+		Rank:    routing.Rank(c.route, c.team),
+		GiveUp:  c.giveUp(),
+		Avoid:   c.met,
+	}
+}
+
+func (c *call) object() string {
+	if !c.route.Affinity {
+		return ""
+	}
+	return c.handler.Dialect.ReadObject(c.r)
+}
+
+func (c *call) regions() [][]string {
+	if c.team == nil {
+		return [][]string{
+			c.route.Regions,
+		}
+	}
+	return [][]string{
+		c.route.Regions,
+		c.team.Regions,
+	}
+}
+
+// waitPart is the part of a route's target for which its requests wait for a
+// place.
+const waitPart = 0.5
+
+// giveUp is until when waiting for a place is of use.
+func (c *call) giveUp() time.Time {
+	until := c.start.Add(time.Duration(waitPart * float64(c.route.Target)))
+	if until.After(c.deadline) {
+		return c.deadline
+	}
+	return until
+}
+
+func (c *call) suspects() retry.Suspects {
+	return c.handler.Suspects
+}
--- /dev/null
+++ b/intake/demand.go
@@ -0,0 +1,46 @@
+package intake
+
+import (
+	"sync"
+	"time"
+
+	"trefoilline.example/trefoilline/meter"
+)
+
+// demandWindow is over how long the demand is counted: long enough that it moves
+// slower than single bursts.
+const demandWindow = 2 * time.Second
+
+// demand counts what callers ask for, by route.
+type demand struct {
+	mu    sync.Mutex
+	rates map[string]*meter.Rate
+}
+
+func (d *demand) add(route string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.rates == nil {
+		d.rates = make(map[string]*meter.Rate)
+	}
+	r, known := d.rates[route]
+	if !known {
+		r = &meter.Rate{
+			Window: demandWindow,
+		}
+		d.rates[route] = r
+	}
+	r.Add(now)
+}
+
+// Demand returns how many requests per second callers ask for, by route.
+func (h *Handler) Demand() map[string]float64 {
+	h.demand.mu.Lock()
+	defer h.demand.mu.Unlock()
+	now := h.now()
+	rates := make(map[string]float64, len(h.demand.rates))
+	for route, r := range h.demand.rates {
+		rates[route] = r.At(now)
+	}
+	return rates
+}
--- /dev/null
+++ b/intake/errors.go
@@ -0,0 +1,90 @@
+package intake
+
+import (
+	"fmt"
+	"time"
+
+	"trefoilline.example/trefoilline/header"
+)
+
+// StartingError reports that this host knows no configuration yet.
+type StartingError struct{}
+
+func (*StartingError) Error() string { return "this host knows no configuration yet" }
+
+// NoRouteError reports a request for which there is no route.
+type NoRouteError struct {
+	Host string
+	Path string
+}
+
+func (e *NoRouteError) Error() string {
+	return fmt.Sprintf("no route for host %q and path %q", e.Host, e.Path)
+}
+
+// UnknownKeyError reports a request without a key that is good now. It does not
+// tell the key.
+type UnknownKeyError struct{}
+
+func (*UnknownKeyError) Error() string { return "the request has no key of a team" }
+
+// OverRateError reports a request beyond its team's rate.
+type OverRateError struct {
+	Team string
+	// Wait is how long it takes until one more may pass.
+	Wait time.Duration
+}
+
+func (e *OverRateError) Error() string {
+	return fmt.Sprintf("team %q is above its rate for %s", e.Team, e.Wait)
+}
+
+// BodyError reports a request whose body could not be read.
+type BodyError struct {
+	Cause error
+}
+
+func (e *BodyError) Error() string { return "read the request's body: " + e.Cause.Error() }
+
+func (e *BodyError) Unwrap() error { return e.Cause }
+
+// SuspectedError reports a request that backend servers died of.
+type SuspectedError struct{}
+
+func (*SuspectedError) Error() string { return "backend servers died of the request" }
+
+// NotRunError reports that a backend server did not run the request.
+type NotRunError struct {
+	Server string
+	Reason header.Reason
+	// Cause is the error behind it, nil if the server refused.
+	Cause error
+}
+
+func (e *NotRunError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("backend server %s did not run the request (%s): %v", e.Server, e.Reason, e.Cause)
+	}
+	return fmt.Sprintf("backend server %s refused the request: %s", e.Server, e.Reason)
+}
+
+func (e *NotRunError) Unwrap() error { return e.Cause }
+
+// UnknownOutcomeError reports that a backend server may have run the request.
+type UnknownOutcomeError struct {
+	Server string
+	Reason header.Reason
+	Cause  error
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("backend server %s may have run the request (%s): %v", e.Server, e.Reason, e.Cause)
+}
+
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// UnprovenError reports a success that does not bear the proof of a backend
+// server.
+type UnprovenError struct{}
+
+func (*UnprovenError) Error() string { return "the answer does not bear the backend server's proof" }
--- /dev/null
+++ b/intake/finish.go
@@ -0,0 +1,124 @@
+package intake
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/placement"
+)
+
+// finish tells the caller how the request ended.
+func (c *call) finish(r result) {
+	switch r := r.(type) {
+	case *answer:
+		c.pass(r)
+	case *ending:
+		c.end(r)
+	}
+}
+
+// pass passes the backend server's answer on.
+func (c *call) pass(a *answer) {
+	headers := c.w.Header()
+	for name, values := range a.header {
+		headers[name] = values
+	}
+	headers.Set("Content-Length", strconv.Itoa(len(a.body)))
+	if _, isDated := headers["Date"]; !isDated {
+		// No date of this host's own in place of the server's.
+		headers["Date"] = nil
+	}
+	c.closeIfLeaving()
+	c.w.WriteHeader(a.status)
+	// A caller that is gone needs no answer.
+	_, _ = c.w.Write(a.body)
+	c.handler.counters.answered.Add(1)
+}
+
+// closeIfLeaving asks the caller to use another host from now on.
+func (c *call) closeIfLeaving() {
+	if c.handler.isLeaving() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
+// end ends a request without an answer of a backend server.
+func (c *call) end(e *ending) {
+	if c.isOver() {
+		c.handler.counters.left.Add(1)
+		return
+	}
+	if !e.mayHaveRun {
+		if c.team != nil {
+			c.handler.Book.Return(c.team.Name)
+		}
+		c.refuse(e.cause)
+		return
+	}
+	status := http.StatusBadGateway
+	if !c.handler.now().Before(c.deadline) {
+		status = http.StatusGatewayTimeout
+	}
+	c.write(status, 0, e.cause)
+}
+
+// refuse says that the request was not run.
+func (c *call) refuse(cause error) {
+	var overRate *OverRateError
+	var noRoute *NoRouteError
+	var unknownKey *UnknownKeyError
+	var tooLarge *http.MaxBytesError
+	var body *BodyError
+	switch {
+	case errors.As(cause, &overRate):
+		c.write(http.StatusTooManyRequests, overRate.Wait, cause)
+	case errors.As(cause, &noRoute):
+		c.write(http.StatusNotFound, 0, cause)
+	case errors.As(cause, &unknownKey):
+		c.write(http.StatusUnauthorized, 0, cause)
+	case errors.As(cause, &tooLarge):
+		c.write(http.StatusRequestEntityTooLarge, 0, cause)
+	case errors.As(cause, &body):
+		c.write(http.StatusBadRequest, 0, cause)
+	default:
+		c.write(http.StatusServiceUnavailable, returnIn(cause), cause)
+	}
+}
+
+// DefaultReturn is when a caller is asked to come back if nothing better is
+// known.
+const DefaultReturn = 100 * time.Millisecond
+
+// returnIn tells when a request that found no room may find some.
+func returnIn(cause error) time.Duration {
+	var busy *placement.BusyError
+	if errors.As(cause, &busy) {
+		return max(busy.Free, DefaultReturn/2)
+	}
+	return DefaultReturn
+}
+
+// write answers with a status of this host's own.
+func (c *call) write(status int, wait time.Duration, cause error) {
+	c.closeIfLeaving()
+	if wait > 0 {
+		c.w.Header().Set("Retry-After", c.handler.Dialect.FormatRetry(wait))
+	}
+	http.Error(c.w, http.StatusText(status), status)
+	c.handler.counters.count(status)
+	c.handler.Log.Write(observe.RequestEnded, zap.String("request", c.r.Header.Get(c.handler.Dialect.Request)),
+		zap.Int("status", status), zap.Duration("took", c.handler.now().Sub(c.start)), zap.Strings("servers", c.met),
+		zap.String("route", c.routeName()), zap.Error(cause))
+}
+
+func (c *call) routeName() string {
+	if c.route == nil {
+		return ""
+	}
+	return c.route.Name
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -15,7 +15,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: false,
 	}
-	root.AddCommand(newRun(), newCheck(), newEvents())
+	root.AddCommand(newRun(), newServe(), newCheck(), newEvents())
 	return root
 }
 
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,176 @@
+/*
+Package host wires an entry host whose configuration and backend servers come from
+the platform's store, and runs it until it is told to stop. It decides nothing.
+
+# Usage
+
+	settings, err := host.ReadSettings(path)
+	err = host.Run(ctx, settings, logger)
+*/
+package host
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/intake"
+	"trefoilline.example/trefoilline/objectstore"
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/placement"
+	"trefoilline.example/trefoilline/platform"
+	"trefoilline.example/trefoilline/quota"
+	"trefoilline.example/trefoilline/roster"
+	"trefoilline.example/trefoilline/suspect"
+)
+
+// host is one run of an entry host.
+type host struct {
+	settings    Settings
+	incarnation uint64
+	log         observe.Log
+
+	store    *platform.Objects
+	pool     *placement.Pool
+	book     *quota.Book
+	roster   *roster.Roster
+	client   *exchange.Client
+	suspects *suspect.List
+	handler  *intake.Handler
+	peers    peers
+
+	leaving   atomic.Bool
+	knowsPool atomic.Bool
+	losses    losses
+	spill     spill
+}
+
+// losses are those that this host tells the others of.
+type losses struct {
+	mu     sync.Mutex
+	recent []suspect.Loss
+}
+
+func newHost(settings Settings, log observe.Log) *host {
+	h := &host{
+		settings:    settings,
+		incarnation: uint64(time.Now().UnixNano()),
+		log:         log,
+		store: &platform.Objects{
+			Base: settings.Store,
+		},
+		pool: &placement.Pool{
+			Region: settings.Region,
+		},
+		book: &quota.Book{},
+		roster: &roster.Roster{
+			Self: settings.Host,
+		},
+	}
+	dialect := platform.Dialect.Dialect
+	h.client = &exchange.Client{
+		Dialect:        &dialect,
+		KeptForOnce:    true,
+		Unbounded:      true,
+		ConnectTimeout: connectTimeout,
+		IdleTimeout:    keptFor,
+		AnswerTimeout:  answerTimeout,
+	}
+	h.suspects = &suspect.List{
+		Share:   h.shareLoss,
+		Answers: h.answers,
+	}
+	h.handler = &intake.Handler{
+		Pool:    h.pool,
+		Book:    h.book,
+		Client:  h.client,
+		Dialect: platform.Dialect,
+		Budget: &intake.Budget{
+			Ratio: settings.RetryRatio,
+			Slack: settings.RetrySlack,
+			Hosts: h.hostCount,
+		},
+		Suspects: h.suspects,
+		Leaving:  h.leaving.Load,
+		Log:      log,
+	}
+	h.peers.host = h
+	h.peers.kick = make(chan struct{}, 1)
+	return h
+}
+
+// How connections to backend servers are used.
+const (
+	connectTimeout = 500 * time.Millisecond
+	// keptFor is below the time after which backend servers close idle
+	// connections, so that a request does not meet the close.
+	keptFor       = 4 * time.Second
+	answerTimeout = 10 * time.Second
+)
+
+// hostCount is how many hosts there are, this one among them.
+func (h *host) hostCount() int {
+	return len(h.roster.Remembered()) + len(h.roster.Unheard()) + 1
+}
+
+// isReady tells whether the host takes callers.
+func (h *host) isReady() bool {
+	return h.handler.Configuration() != nil && h.knowsPool.Load() && !h.leaving.Load()
+}
+
+// record is what the store tells other hosts of this one.
+func (h *host) record() roster.Host {
+	return roster.Host{
+		Name:   h.settings.Host,
+		Region: h.settings.Region,
+		Zone:   h.settings.Zone,
+		Entry:  h.settings.Entry,
+		Peers:  h.settings.Peers,
+	}
+}
+
+// lookUp returns the entry addresses for a caller: ready hosts of its region, or
+// all if it has none.
+func (h *host) lookUp(question platform.LookUp) ([]netip.AddrPort, time.Duration) {
+	var near, far []netip.AddrPort
+	add := func(b roster.Beat) {
+		switch {
+		case !b.Ready:
+		case b.Region == question.Region:
+			near = append(near, b.Entry)
+		default:
+			far = append(far, b.Entry)
+		}
+	}
+	for _, b := range h.roster.Live() {
+		add(b)
+	}
+	add(h.beat())
+	if len(near) > 0 {
+		return near, h.lookUpValidity()
+	}
+	return far, h.lookUpValidity()
+}
+
+// lookUpPart is the part of the longest validity that look-ups use: a host that
+// is lost is named for less long.
+const lookUpPart = 0.4
+
+func (h *host) lookUpValidity() time.Duration {
+	return time.Duration(lookUpPart * h.settings.LookUpSeconds * float64(time.Second))
+}
+
+// regionHosts returns how many live hosts each region has.
+func (h *host) regionHosts() map[string]int {
+	hosts := map[string]int{
+		h.settings.Region: 1,
+	}
+	for _, b := range h.roster.Live() {
+		hosts[b.Region]++
+	}
+	return hosts
+}
+
+var _ objectstore.Source = (*platform.Objects)(nil)
--- /dev/null
+++ b/internal/host/peers.go
@@ -0,0 +1,204 @@
+package host
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/roster"
+	"trefoilline.example/trefoilline/suspect"
+)
+
+// beatPath is where hosts take beats of each other.
+const beatPath = "/trefoilline/beat"
+
+// maxBeat bounds a beat, in bytes.
+const maxBeat = 1 << 20
+
+// beatTimeout bounds the sending of a beat.
+const beatTimeout = time.Second
+
+// lossMemory is for how long losses go along with beats.
+const lossMemory = 10 * time.Second
+
+// peers carries beats between hosts.
+type peers struct {
+	host     *host
+	sequence atomic.Uint64
+	client   http.Client
+	// kick makes the next beats go out at once.
+	kick chan struct{}
+
+	mu sync.Mutex
+	// sending holds the addresses that a beat is on its way to.
+	sending map[netip.AddrPort]struct{}
+}
+
+// routes serves what other hosts call.
+func (p *peers) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+beatPath, p.receive)
+	return mux
+}
+
+func (p *peers) receive(w http.ResponseWriter, r *http.Request) {
+	var b roster.Beat
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBeat)).Decode(&b); err != nil {
+		http.Error(w, http.StatusText(http.StatusBadRequest), http.StatusBadRequest)
+		p.host.log.Write(observe.BeatUnreadable, zap.String("from", r.RemoteAddr), zap.Error(err))
+		return
+	}
+	if p.host.roster.Receive(b) {
+		for _, loss := range b.Losses {
+			p.host.suspects.Add(loss)
+		}
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// run sends beats until the context ends.
+func (p *peers) run(ctx context.Context) {
+	dialer := &net.Dialer{
+		Timeout: beatTimeout,
+	}
+	p.client.Transport = &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+	}
+	ticker := time.NewTicker(roster.BeatPeriod)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		p.sendAll(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		case <-p.kick:
+		}
+	}
+}
+
+// now makes beats go out at once.
+func (p *peers) now() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// sendAll sends one beat to all hosts that none is on its way to.
+func (p *peers) sendAll(ctx context.Context) {
+	body, err := json.Marshal(p.host.beat())
+	if err != nil {
+		p.host.log.Write(observe.BeatUnsent, zap.Error(err))
+		return
+	}
+	for _, address := range p.addresses() {
+		if p.begin(address) {
+			go p.send(ctx, address, body)
+		}
+	}
+}
+
+// addresses returns the hosts to tell. The seeds are told until the store's records
+// are known.
+func (p *peers) addresses() []netip.AddrPort {
+	addresses := p.host.roster.Addresses()
+	if len(addresses) == 0 {
+		addresses = slices.DeleteFunc(slices.Clone(p.host.settings.Seeds), func(a netip.AddrPort) bool {
+			return a == p.host.settings.Peers
+		})
+	}
+	return addresses
+}
+
+func (p *peers) begin(address netip.AddrPort) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, isSending := p.sending[address]; isSending {
+		return false
+	}
+	if p.sending == nil {
+		p.sending = make(map[netip.AddrPort]struct{})
+	}
+	p.sending[address] = struct{}{}
+	return true
+}
+
+// send sends a beat. One that is lost is followed by the next.
+func (p *peers) send(ctx context.Context, address netip.AddrPort, body []byte) {
+	defer func() {
+		p.mu.Lock()
+		delete(p.sending, address)
+		p.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+beatPath, bytes.NewReader(body))
+	if err != nil {
+		p.host.log.Write(observe.BeatUnsent, zap.Error(err))
+		return
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		p.host.log.Write(observe.BeatUnsent, zap.String("to", address.String()), zap.Error(err))
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+}
+
+// beat is what this host says of itself now.
+func (h *host) beat() roster.Beat {
+	b := roster.Beat{
+		Host:        h.record(),
+		Incarnation: h.incarnation,
+		Sequence:    h.peers.sequence.Add(1),
+		Ready:       h.isReady(),
+		Asked:       h.book.Asked(),
+		Demand:      h.handler.Demand(),
+		Losses:      h.recentLosses(),
+	}
+	if c := h.handler.Configuration(); c != nil {
+		b.Version = c.Version
+	}
+	return b
+}
+
+// shareLoss tells the other hosts of a loss at once.
+func (h *host) shareLoss(loss suspect.Loss) {
+	h.losses.mu.Lock()
+	h.losses.recent = append(h.losses.recent, loss)
+	h.losses.mu.Unlock()
+	h.peers.now()
+}
+
+func (h *host) recentLosses() []suspect.Loss {
+	h.losses.mu.Lock()
+	defer h.losses.mu.Unlock()
+	oldest := time.Now().Add(-lossMemory)
+	h.losses.recent = slices.DeleteFunc(h.losses.recent, func(l suspect.Loss) bool { return l.At.Before(oldest) })
+	return slices.Clone(h.losses.recent)
+}
+
+// answers tells whether a backend server takes a new connection.
+func (h *host) answers(server netip.AddrPort) bool {
+	connection, err := net.DialTimeout("tcp", server.String(), connectTimeout)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
--- /dev/null
+++ b/internal/host/settings.go
@@ -0,0 +1,111 @@
+package host
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+)
+
+// Settings are what a host learns from its settings file.
+type Settings struct {
+	// Host names this entry host; unique among the hosts.
+	Host string `json:"host"`
+	// Region and Zone say where the host runs.
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+	// Zones holds the region of each availability zone.
+	Zones map[string]string `json:"zones"`
+	// Entry is the address for callers, Ready that for the platform's checks,
+	// LookUps that for callers' look-ups, Peers that for other hosts.
+	Entry   netip.AddrPort `json:"entry"`
+	Ready   netip.AddrPort `json:"ready"`
+	LookUps netip.AddrPort `json:"look-ups"`
+	Peers   netip.AddrPort `json:"peers"`
+	// Seeds are the addresses for other hosts of a few hosts.
+	Seeds []netip.AddrPort `json:"seeds"`
+	// Store is the address of the platform's store.
+	Store netip.AddrPort `json:"store"`
+	// LookUpSeconds is the longest that callers may use a look-up answer.
+	LookUpSeconds float64 `json:"look-up-seconds"`
+	// GraceSeconds is how long a host that is told to stop may take.
+	GraceSeconds float64 `json:"grace-seconds"`
+	// RetryRatio and RetrySlack bound the sends beyond the first of each request,
+	// over all hosts.
+	RetryRatio float64 `json:"retry-ratio"`
+	RetrySlack float64 `json:"retry-slack"`
+}
+
+// grace is how long the host may take to stop.
+func (s Settings) grace() time.Duration {
+	return time.Duration(s.GraceSeconds * float64(time.Second))
+}
+
+// SettingsError reports a settings file that can't be used, with all its faults.
+type SettingsError struct {
+	Path   string
+	Faults []string
+	// Cause is set if the file could not be read.
+	Cause error
+}
+
+func (e *SettingsError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("settings file %s: %v", e.Path, e.Cause)
+	}
+	return fmt.Sprintf("settings file %s: %s", e.Path, strings.Join(e.Faults, "; "))
+}
+
+func (e *SettingsError) Unwrap() error { return e.Cause }
+
+// ReadSettings reads a settings file, and returns a [SettingsError] with all its
+// faults.
+func ReadSettings(path string) (Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &SettingsError{
+			Path:  path,
+			Cause: err,
+		}
+	}
+	var s Settings
+	if err := json.Unmarshal(content, &s); err != nil {
+		return Settings{}, &SettingsError{
+			Path:  path,
+			Cause: err,
+		}
+	}
+	if faults := s.check(); len(faults) > 0 {
+		return Settings{}, &SettingsError{
+			Path:   path,
+			Faults: faults,
+		}
+	}
+	return s, nil
+}
+
+// check returns what is wrong in the settings.
+func (s Settings) check() []string {
+	var faults []string
+	need := func(name string, isGood bool, accepted string) {
+		if !isGood {
+			faults = append(faults, fmt.Sprintf("%q is missing or wrong; accepted is %s", name, accepted))
+		}
+	}
+	const address = "an IP address and a port above zero"
+	need("host", s.Host != "", "a name")
+	need("region", s.Region != "", "a name")
+	need("zones", s.Zones[s.Zone] == s.Region, "the region of each zone, that of this host among them")
+	need("entry", s.Entry.IsValid() && s.Entry.Port() > 0, address)
+	need("ready", s.Ready.IsValid() && s.Ready.Port() > 0, address)
+	need("look-ups", s.LookUps.IsValid() && s.LookUps.Port() > 0, address)
+	need("peers", s.Peers.IsValid() && s.Peers.Port() > 0, address)
+	need("store", s.Store.IsValid() && s.Store.Port() > 0, address)
+	need("look-up-seconds", s.LookUpSeconds > 0, "a number above zero")
+	need("grace-seconds", s.GraceSeconds > 0, "a number above zero")
+	need("retry-ratio", s.RetryRatio >= 0, "a number, zero or more")
+	need("retry-slack", s.RetrySlack >= 0, "a number, zero or more")
+	return faults
+}
--- a/objectstore/errors.go
+++ b/objectstore/errors.go
@@ -61,3 +61,13 @@
 }
 
 func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// HistoryGoneError reports that the store no longer knows what changed since the
+// version that a watch asked for. List again.
+type HistoryGoneError struct {
+	Key string
+}
+
+func (e *HistoryGoneError) Error() string {
+	return fmt.Sprintf("the history of %q is gone", e.Key)
+}
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -39,8 +39,11 @@
 
 // Object is one value of the store at one version.
 type Object struct {
-	Key     string  `json:"key"`
-	Value   []byte  `json:"value,omitempty"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Status is what is observed of the object apart from its value, in stores
+	// that keep both.
+	Status  []byte  `json:"status,omitempty"`
 	Version Version `json:"version"`
 	// Deleted marks the removal of the key; only watches report it.
 	Deleted bool `json:"deleted,omitempty"`
@@ -88,6 +91,15 @@
 	Next Version `json:"next"`
 }
 
+// Source is a store whose objects are listed and then watched.
+type Source interface {
+	// Snapshot returns all objects whose key starts with the prefix, and the
+	// version to watch from.
+	Snapshot(ctx context.Context, prefix string) (Changes, error)
+	// Watch is that of [Store]. It may return a [HistoryGoneError].
+	Watch(ctx context.Context, prefix string, after Version, wait time.Duration) (Changes, error)
+}
+
 // MachineKind tells what a listed machine does.
 type MachineKind string
 
@@ -120,6 +132,12 @@
 	// Slots is how many requests a backend server runs at once; zero for entry
 	// hosts.
 	Slots int `json:"slots,omitempty"`
+	// ColdFor is how much longer a backend server is cold, at the time of its
+	// entry.
+	ColdFor time.Duration `json:"cold-for,omitempty"`
+	// Started is when the machine started, by its own clock; zero if it is not
+	// told.
+	Started time.Time `json:"started,omitzero"`
 }
 
 // Directory is the platform's list of machines.
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -168,6 +168,116 @@
 		Cause:  "A request was not run; the caller was told so.",
 		Action: "See the measures for the counts by reason.",
 	}
+	ServingFailed = Event{
+		Number: 103,
+		Name:   "serving-failed",
+		Level:  zapcore.ErrorLevel,
+		Fields: []string{
+			"address",
+			"cause",
+		},
+		Cause:  "A listener of the host stopped, or a connection did not end in time when the host stopped.",
+		Action: "Look at the cause; restart the host if it serves no more.",
+	}
+	ConfigurationInForce = Event{
+		Number: 211,
+		Name:   "configuration-in-force",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"version",
+		},
+		Cause:  "The host took a newer configuration of the operators.",
+		Action: "None.",
+	}
+	ZonesEvacuated = Event{
+		Number: 212,
+		Name:   "zones-evacuated",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"zones",
+		},
+		Cause:  "The operators changed which zones get nothing.",
+		Action: "None.",
+	}
+	EntryUnusable = Event{
+		Number: 213,
+		Name:   "entry-unusable",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"key",
+			"cause",
+		},
+		Cause:  "An object of the store could not be read; what it held before, or nothing, is used.",
+		Action: "Find who wrote the object and mend it.",
+	}
+	StoreLost = Event{
+		Number: 214,
+		Name:   "store-lost",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"prefix",
+			"cause",
+		},
+		Cause:  "Calls of the store for these objects began to fail; what is known stays in use.",
+		Action: "If it lasts, look at the store and the way to it.",
+	}
+	StoreRegained = Event{
+		Number: 215,
+		Name:   "store-regained",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"prefix",
+		},
+		Cause:  "Calls of the store for these objects work again.",
+		Action: "None.",
+	}
+	RecordUnwritten = Event{
+		Number: 216,
+		Name:   "record-unwritten",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"cause",
+		},
+		Cause:  "The host's record in the store could not be written or removed; it tries again while it runs.",
+		Action: "If it lasts, look at the store and the way to it.",
+	}
+	BeatUnsent = Event{
+		Number: 305,
+		Name:   "beat-unsent",
+		Level:  zapcore.DebugLevel,
+		Fields: []string{
+			"to",
+			"cause",
+		},
+		Cause:  "Another host did not take a beat in time.",
+		Action: "None; hosts that are lost are named by look-ups no more.",
+	}
+	BeatUnreadable = Event{
+		Number: 306,
+		Name:   "beat-unreadable",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"from",
+			"cause",
+		},
+		Cause:  "Another host sent a beat that can not be read.",
+		Action: "Compare the versions of both hosts.",
+	}
+	RequestEnded = Event{
+		Number: 405,
+		Name:   "request-ended",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"request",
+			"status",
+			"took",
+			"servers",
+			"route",
+			"cause",
+		},
+		Cause:  "This host ended a request without a backend server's answer. Status 429 and 503: it was not run; 502 and 504: it may have run.",
+		Action: "Look at the cause; servers lists those that the request was sent to, in order.",
+	}
 	RequestUnknown = Event{
 		Number: 401,
 		Name:   "request-unknown",
@@ -237,6 +347,7 @@
 		Started,
 		LeavingStarted,
 		Stopped,
+		ServingFailed,
 		TableInForce,
 		TableUnreadable,
 		KeysInForce,
@@ -244,15 +355,24 @@
 		KeysConfirmed,
 		PlanInForce,
 		PlanUnreadable,
+		ConfigurationInForce,
+		ZonesEvacuated,
+		EntryUnusable,
+		StoreLost,
+		StoreRegained,
+		RecordUnwritten,
 		PeerUnreached,
 		MachinesUnreadable,
 		AllocationUnwritten,
 		PlanUnwritten,
 		ClaimsSwept,
+		BeatUnsent,
+		BeatUnreadable,
 		RequestRefused,
 		RequestUnknown,
 		AnswerBroken,
 		RequestSuspected,
+		RequestEnded,
 		InvariantBroken,
 	}
 }
--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,128 @@
+package placement
+
+import (
+	"time"
+)
+
+// candidates returns the places of a request, the best first: servers that may
+// serve it and are expected to answer. It returns none if there is no server at
+// all.
+func (p *Pool) candidates(g *group, w *Want, now time.Time) []*server {
+	usable := p.usable(g, w)
+	if len(usable) == 0 {
+		return nil
+	}
+	well := keep(usable, func(s *server) bool { return s.isWell(now) })
+	if len(well) > 0 {
+		usable = well
+	}
+	usable = p.inPlace(usable, w)
+	if w.Object == "" {
+		return leastLoaded(usable, now)
+	}
+	var chosen []*server
+	for _, r := range rank(w.object(), usable) {
+		if len(chosen) == p.places() {
+			break
+		}
+		if r.server.isCold(now) && !p.mayWarm(r.server, now) {
+			continue
+		}
+		chosen = append(chosen, r.server)
+	}
+	return chosen
+}
+
+// usable returns the servers that the request may go to.
+func (p *Pool) usable(g *group, w *Want) []*server {
+	return keep(g.servers, func(s *server) bool { return s.isUsable() && w.allows(s) })
+}
+
+// inPlace returns the servers of the request's region: this one for most objects,
+// the others for the part that has no room here.
+func (p *Pool) inPlace(usable []*server, w *Want) []*server {
+	home := keep(usable, func(s *server) bool { return s.Region == p.Region })
+	away := keep(usable, func(s *server) bool { return s.Region != p.Region })
+	if len(home) == 0 || len(away) > 0 && !p.staysHome(w) {
+		return away
+	}
+	return home
+}
+
+// staysHome tells whether the request's object has its places in this region.
+func (p *Pool) staysHome(w *Want) bool {
+	share, isSet := p.homes[w.Route]
+	if !isSet || w.Object == "" {
+		return true
+	}
+	return Point("home\x00"+w.object()) < share
+}
+
+func keep(servers []*server, isKept func(*server) bool) []*server {
+	var kept []*server
+	for _, s := range servers {
+		if isKept(s) {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// leastLoaded returns the server with the least part of its slots in use.
+func leastLoaded(servers []*server, now time.Time) []*server {
+	best := servers[0]
+	for _, s := range servers[1:] {
+		if s.load(now)/float64(s.Slots) < best.load(now)/float64(best.Slots) {
+			best = s
+		}
+	}
+	return []*server{
+		best,
+	}
+}
+
+// mayWarm tells whether a cold server has room for a request of this host now.
+func (p *Pool) mayWarm(s *server, now time.Time) bool {
+	rate := p.coldRate(s)
+	if rate == 0 {
+		return true
+	}
+	s.cold.Set(now, rate, coldBurst)
+	return s.cold.Has(now)
+}
+
+// coldBurst is how many requests each host may send a cold server at once.
+const coldBurst = 1
+
+// coldRate is this host's part of what a cold server takes, zero if that is not
+// bounded. Hosts of other regions take none while the server's region has hosts.
+func (p *Pool) coldRate(s *server) float64 {
+	whole := p.settings[s.Service].ColdRate
+	return whole / float64(max(p.hosts[s.Region], 1))
+}
+
+// choose takes a place for the request if one has room.
+func (p *Pool) choose(candidates []*server, now time.Time) *server {
+	var best *server
+	for _, s := range candidates {
+		room := float64(s.Slots+p.excess()) - s.load(now)
+		if room < 1 {
+			continue
+		}
+		if s.load(now) < float64(s.Slots) {
+			best = s
+			break
+		}
+		if best == nil || s.load(now) < best.load(now) {
+			best = s
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	if best.isCold(now) && p.coldRate(best) > 0 && !best.cold.Take(now) {
+		return nil
+	}
+	best.running++
+	return best
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,184 @@
+/*
+Package roster is what an entry host knows of the other entry hosts: who is there,
+who takes callers, and what each last said of itself. Hosts find each other by
+records in the platform's store and then send each other beats. The store tells who
+may be there; only beats tell who is.
+
+# Usage
+
+	known := &roster.Roster{
+		Self: "accra-1",
+	}
+	known.SetRecords(records)
+	known.Receive(beat)
+	for _, host := range known.Live() {
+		// host answers.
+	}
+
+Each host sends a beat to every other, so the messages grow with the square of the
+hosts; docs/CAPACITY.md tells up to where that holds.
+*/
+package roster
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"trefoilline.example/trefoilline/quota"
+	"trefoilline.example/trefoilline/routing"
+	"trefoilline.example/trefoilline/suspect"
+)
+
+// BeatPeriod is how often a host sends a beat to each other.
+const BeatPeriod = 500 * time.Millisecond
+
+// LiveFor is how long a host counts as live after its last beat.
+const LiveFor = 4 * BeatPeriod
+
+// RememberFor is how long what a host last said of itself is kept after its last
+// beat: it may be cut off from here and serve on.
+const RememberFor = 20 * time.Second
+
+// Host is an entry host's record in the store.
+type Host struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+	// Entry is the address for callers.
+	Entry netip.AddrPort `json:"entry"`
+	// Peers is the address for other hosts.
+	Peers netip.AddrPort `json:"peers"`
+}
+
+// Beat is what a host says of itself to the others.
+type Beat struct {
+	Host
+	// Incarnation tells starts of a host apart.
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence grows with each beat of an incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Ready tells that the host takes callers.
+	Ready bool `json:"ready"`
+	// Version is the configuration in force on the host.
+	Version routing.Version `json:"version"`
+	// Asked is what the host is asked for by each team.
+	Asked quota.Asked `json:"asked,omitempty"`
+	// Demand is what the host is asked for on each route, per second.
+	Demand map[string]float64 `json:"demand,omitempty"`
+	// Losses are what the host learned lately of requests that backend servers die
+	// of.
+	Losses []suspect.Loss `json:"losses,omitempty"`
+}
+
+// Roster knows the other hosts. It is safe for concurrent use and must not be
+// copied.
+type Roster struct {
+	// Self is the name of this host, which is not in the roster.
+	Self string
+	// Clock tells the time; [time.Now] if nil.
+	Clock func() time.Time
+
+	mu      sync.Mutex
+	records []Host
+	heard   map[string]heard
+}
+
+type heard struct {
+	beat Beat
+	at   time.Time
+}
+
+// SetRecords takes the records of the store.
+func (r *Roster) SetRecords(records []Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = slices.DeleteFunc(slices.Clone(records), func(h Host) bool { return h.Name == r.Self })
+}
+
+// Receive takes a beat, and reports false if a later one is known.
+func (r *Roster) Receive(b Beat) bool {
+	if b.Name == r.Self || b.Name == "" {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, isKnown := r.heard[b.Name]
+	if isKnown && last.beat.Incarnation == b.Incarnation && last.beat.Sequence >= b.Sequence {
+		return false
+	}
+	if r.heard == nil {
+		r.heard = make(map[string]heard)
+	}
+	r.heard[b.Name] = heard{
+		beat: b,
+		at:   r.now(),
+	}
+	return true
+}
+
+// Live returns the last beats of the hosts that are there, by name.
+func (r *Roster) Live() []Beat {
+	return r.heardWithin(LiveFor)
+}
+
+// Remembered returns the last beats of all hosts that may be there, by name.
+func (r *Roster) Remembered() []Beat {
+	return r.heardWithin(RememberFor)
+}
+
+func (r *Roster) heardWithin(span time.Duration) []Beat {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var beats []Beat
+	for _, h := range r.heard {
+		if now.Sub(h.at) <= span {
+			beats = append(beats, h.beat)
+		}
+	}
+	slices.SortFunc(beats, func(a, b Beat) int { return cmp.Compare(a.Name, b.Name) })
+	return beats
+}
+
+// Unheard returns the hosts that have a record and were never heard, or not for
+// long.
+func (r *Roster) Unheard() []Host {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	var unheard []Host
+	for _, h := range r.records {
+		last, isKnown := r.heard[h.Name]
+		if !isKnown || now.Sub(last.at) > RememberFor {
+			unheard = append(unheard, h)
+		}
+	}
+	return unheard
+}
+
+// Addresses returns where beats go: to all hosts that have a record or were heard.
+func (r *Roster) Addresses() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	addresses := make([]netip.AddrPort, 0, len(r.records))
+	for _, h := range r.records {
+		addresses = append(addresses, h.Peers)
+	}
+	now := r.now()
+	for _, h := range r.heard {
+		if now.Sub(h.at) <= RememberFor && !slices.Contains(addresses, h.beat.Peers) {
+			addresses = append(addresses, h.beat.Peers)
+		}
+	}
+	return addresses
+}
+
+func (r *Roster) now() time.Time {
+	if r.Clock == nil {
+		return time.Now()
+	}
+	return r.Clock()
+}
