Place what has no room in a region elsewhere, refuse at once what would wait too long

Its hosts counted requests of teams that are bound to it from other regions as free to move, measured work times that held waiting at the server, and held requests for half of their target before refusing them. Ruled out: work times of one host alone (a crowded region sees no warm ones and keeps all at home).

--- a/intake/call.go
+++ b/intake/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"trefoilline.example/trefoilline/exchange"
@@ -30,6 +31,10 @@
 	request  *exchange.Request
 	// met names the backend servers that the request was sent to.
 	met []string
+	// region is that of the last of them.
+	region string
+	// waited is how long the request waited for places.
+	waited time.Duration
 	// ran counts those of them that may have run it.
 	ran int
 }
@@ -136,7 +141,10 @@
 }
 
 func (c *call) takeRate() error {
-	c.handler.demand.add(c.route.Name, c.start)
+	c.handler.demand.add(demandKey{
+		route: c.route.Name,
+		bound: c.bound(),
+	}, c.start)
 	if c.team == nil {
 		return nil
 	}
@@ -181,6 +189,31 @@
 	}
 }
 
+// bound is the region that the request is bound to: this host's, if it may be
+// served here; empty if it may be served anywhere.
+func (c *call) bound() string {
+	allowed := c.route.Regions
+	if c.team != nil && len(c.team.Regions) > 0 {
+		if len(allowed) == 0 {
+			allowed = c.team.Regions
+		} else {
+			allowed = common(allowed, c.team.Regions)
+		}
+	}
+	switch {
+	case len(allowed) == 0:
+		return ""
+	case slices.Contains(allowed, c.handler.Pool.Region):
+		return c.handler.Pool.Region
+	}
+	return allowed[0]
+}
+
+// common returns what is in both lists.
+func common(a, b []string) []string {
+	return slices.DeleteFunc(slices.Clone(a), func(s string) bool { return !slices.Contains(b, s) })
+}
+
 // waitPart is the part of a route's target for which its requests wait for a
 // place.
 const waitPart = 0.5
--- a/intake/finish.go
+++ b/intake/finish.go
@@ -38,6 +38,10 @@
 	// A caller that is gone needs no answer.
 	_, _ = c.w.Write(a.body)
 	c.handler.counters.answered.Add(1)
+	c.handler.Log.Write(observe.RequestPassed, zap.String("request", c.r.Header.Get(c.handler.Dialect.Request)),
+		zap.Int("status", a.status), zap.Duration("took", c.handler.now().Sub(c.start)), zap.Duration("waited", c.waited),
+		zap.Strings("servers", c.met), zap.String("region", c.region), zap.String("route", c.routeName()),
+		zap.String("object", c.object()))
 }
 
 // closeIfLeaving asks the caller to use another host from now on.
--- a/intake/forward.go
+++ b/intake/forward.go
@@ -70,6 +70,8 @@
 func (c *call) send(reservation *placement.Reservation) result {
 	server := reservation.Server
 	c.met = append(c.met, server.Name)
+	c.region = server.Region
+	c.waited += reservation.Waited
 	c.request.Added = http.Header{}
 	c.request.Added.Set(c.handler.Dialect.Target, server.Name)
 	if c.team != nil {
--- a/internal/daemon/command_serve.go
+++ b/internal/daemon/command_serve.go
@@ -30,9 +30,11 @@
 		if err != nil {
 			return err
 		}
+		// The settings were checked.
+		level, _ := zapcore.ParseLevel(settings.LogLevel)
 		log, err := newLog(Settings{
 			Host:      settings.Host,
-			LogLevel:  zapcore.InfoLevel,
+			LogLevel:  level,
 			LogFormat: logFormatJSON,
 		})
 		if err != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,7 +44,10 @@
 	leaving   atomic.Bool
 	knowsPool atomic.Bool
 	losses    losses
-	spill     spill
+	// homes is the share of each route's objects that stay in this region.
+	homes atomic.Pointer[map[string]float64]
+	// told is when the parts were last logged.
+	told time.Time
 }
 
 // losses are those that this host tells the others of.
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -151,6 +151,7 @@
 		p.host.log.Write(observe.BeatUnsent, zap.Error(err))
 		return
 	}
+	began := time.Now()
 	response, err := p.client.Do(request)
 	if err != nil {
 		p.host.log.Write(observe.BeatUnsent, zap.String("to", address.String()), zap.Error(err))
@@ -158,6 +159,7 @@
 	}
 	_, _ = io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
+	p.host.roster.Met(address, time.Since(began))
 }
 
 // beat is what this host says of itself now.
@@ -170,6 +172,8 @@
 		Asked:       h.book.Asked(),
 		Demand:      h.handler.Demand(),
 		Losses:      h.recentLosses(),
+		Works:       h.pool.Works(),
+		Homes:       h.cloneHomes(),
 	}
 	if c := h.handler.Configuration(); c != nil {
 		b.Version = c.Version
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -7,6 +7,8 @@
 	"os"
 	"strings"
 	"time"
+
+	"go.uber.org/zap/zapcore"
 )
 
 // Settings are what a host learns from its settings file.
@@ -32,6 +34,8 @@
 	LookUpSeconds float64 `json:"look-up-seconds"`
 	// GraceSeconds is how long a host that is told to stop may take.
 	GraceSeconds float64 `json:"grace-seconds"`
+	// LogLevel is the least level to log; info if empty.
+	LogLevel string `json:"log-level"`
 	// RetryRatio and RetrySlack bound the sends beyond the first of each request,
 	// over all hosts.
 	RetryRatio float64 `json:"retry-ratio"`
@@ -104,6 +108,8 @@
 	need("peers", s.Peers.IsValid() && s.Peers.Port() > 0, address)
 	need("store", s.Store.IsValid() && s.Store.Port() > 0, address)
 	need("look-up-seconds", s.LookUpSeconds > 0, "a number above zero")
+	_, err := zapcore.ParseLevel(s.LogLevel)
+	need("log-level", err == nil, "debug, info, warn or error")
 	need("grace-seconds", s.GraceSeconds > 0, "a number above zero")
 	need("retry-ratio", s.RetryRatio >= 0, "a number, zero or more")
 	need("retry-slack", s.RetrySlack >= 0, "a number, zero or more")
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -252,6 +252,21 @@
 		Cause:  "Another host did not take a beat in time.",
 		Action: "None; hosts that are lost are named by look-ups no more.",
 	}
+	PartsSet = Event{
+		Number: 307,
+		Name:   "parts-set",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"homes",
+			"wanted",
+			"works",
+			"free",
+			"bound",
+			"hosts",
+		},
+		Cause:  "From time to time: the share of each route's objects that stay in the host's region, the share that would suit the load, the work for a warm object, the requests per second by region that may be served anywhere and that may not, and how many hosts share the limits.",
+		Action: "None.",
+	}
 	BeatUnreadable = Event{
 		Number: 306,
 		Name:   "beat-unreadable",
@@ -278,6 +293,23 @@
 		Cause:  "This host ended a request without a backend server's answer. Status 429 and 503: it was not run; 502 and 504: it may have run.",
 		Action: "Look at the cause; servers lists those that the request was sent to, in order.",
 	}
+	RequestPassed = Event{
+		Number: 406,
+		Name:   "request-passed",
+		Level:  zapcore.DebugLevel,
+		Fields: []string{
+			"request",
+			"status",
+			"took",
+			"waited",
+			"servers",
+			"region",
+			"route",
+			"object",
+		},
+		Cause:  "A backend server's whole answer went to the caller. Took is the whole time, waited the part of it in which the request had no place on a backend server.",
+		Action: "None.",
+	}
 	RequestUnknown = Event{
 		Number: 401,
 		Name:   "request-unknown",
@@ -368,11 +400,13 @@
 		ClaimsSwept,
 		BeatUnsent,
 		BeatUnreadable,
+		PartsSet,
 		RequestRefused,
 		RequestUnknown,
 		AnswerBroken,
 		RequestSuspected,
 		RequestEnded,
+		RequestPassed,
 		InvariantBroken,
 	}
 }
--- a/placement/acquire.go
+++ b/placement/acquire.go
@@ -19,6 +19,8 @@
 	server *server
 	route  string
 	taken  time.Time
+	// crowded tells that the server's slots were taken.
+	crowded bool
 }
 
 // waiter is a request that waits for a place.
@@ -26,6 +28,8 @@
 	want     Want
 	sequence uint64
 	since    time.Time
+	// places are those that it waits for, as they were last.
+	places []*server
 	// granted gets the reservation, once.
 	granted chan *Reservation
 }
@@ -64,10 +68,10 @@
 	if s := p.choose(candidates, now); s != nil {
 		return nil, reserve(s, w.Route, now, 0), nil
 	}
-	if !now.Before(w.GiveUp) {
+	if wait := p.wait(g, &w, candidates, now); now.Add(wait).After(w.GiveUp) {
 		return nil, nil, &BusyError{
 			Service: w.Service,
-			Free:    g.wait(now),
+			Free:    wait,
 		}
 	}
 	g.sequence++
@@ -75,6 +79,7 @@
 		want:     w,
 		sequence: g.sequence,
 		since:    now,
+		places:   candidates,
 		granted:  make(chan *Reservation, 1),
 	}
 	g.line(waiting)
@@ -88,6 +93,8 @@
 		server: s,
 		route:  route,
 		taken:  now,
+		// The request itself is counted by now.
+		crowded: s.load(now) > float64(s.Slots),
 	}
 }
 
@@ -125,14 +132,15 @@
 	return nil, &BusyError{
 		Service: w.want.Service,
 		Waited:  p.now().Sub(w.since),
-		Free:    g.wait(p.now()),
+		Free:    p.now().Sub(w.since),
 	}
 }
 
 // dispatch gives the places that are free to those who wait.
 func (p *Pool) dispatch(g *group, now time.Time) {
 	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool {
-		s := p.choose(p.candidates(g, &w.want, now), now)
+		w.places = p.candidates(g, &w.want, now)
+		s := p.choose(w.places, now)
 		if s == nil {
 			return false
 		}
@@ -141,8 +149,42 @@
 	})
 }
 
-// wait estimates how long the line takes.
-func (g *group) wait(now time.Time) time.Duration {
-	perSecond := max(g.finished.At(now), 1)
-	return time.Duration(float64(len(g.waiting)+1) / perSecond * float64(time.Second))
+// wait estimates how long a request waits for one of its places: until those who
+// go first have had one.
+func (p *Pool) wait(g *group, w *Want, candidates []*server, now time.Time) time.Duration {
+	slots, ahead := 0.0, 1.0
+	for _, s := range candidates {
+		slots += float64(s.Slots)
+		ahead += max(0, s.load(now)-float64(s.Slots))
+	}
+	if slots == 0 {
+		return time.Second
+	}
+	for _, other := range g.waiting {
+		if other.want.Rank <= w.Rank {
+			ahead += overlap(other.places, candidates)
+		}
+	}
+	work := defaultWork
+	if known, isKnown := p.works[w.Route]; isKnown {
+		work = known.mean
+	}
+	return time.Duration(ahead / slots * float64(work))
+}
+
+// defaultWork is how long a request is taken to work before any was seen.
+const defaultWork = 200 * time.Millisecond
+
+// overlap is the part of the places of one request that another has too.
+func overlap(places, others []*server) float64 {
+	if len(places) == 0 {
+		return 0
+	}
+	common := 0.0
+	for _, s := range places {
+		if slices.Contains(others, s) {
+			common++
+		}
+	}
+	return common / float64(len(places))
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -34,7 +34,7 @@
 
 // othersHalfLife is how fast the report of other hosts' requests loses its
 // meaning.
-const othersHalfLife = 250 * time.Millisecond
+const othersHalfLife = 600 * time.Millisecond
 
 // load estimates how many requests the server has.
 func (s *server) load(now time.Time) float64 {
--- a/placement/work.go
+++ b/placement/work.go
@@ -32,9 +32,10 @@
 	}
 }
 
-// learn takes how long an answer of this region took.
+// learn takes how long an answer of this region took, if the request did not wait
+// at the server.
 func (p *Pool) learn(r *Reservation, e Answered) {
-	if e.Error || r.Server.Region != p.Region {
+	if e.Error || r.Server.Region != p.Region || r.crowded || e.Load != nil && e.Load.Waiting > 0 {
 		return
 	}
 	if p.works == nil {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,6 +27,7 @@
 	"sync"
 	"time"
 
+	"trefoilline.example/trefoilline/intake"
 	"trefoilline.example/trefoilline/quota"
 	"trefoilline.example/trefoilline/routing"
 	"trefoilline.example/trefoilline/suspect"
@@ -66,8 +67,13 @@
 	Version routing.Version `json:"version"`
 	// Asked is what the host is asked for by each team.
 	Asked quota.Asked `json:"asked,omitempty"`
-	// Demand is what the host is asked for on each route, per second.
-	Demand map[string]float64 `json:"demand,omitempty"`
+	// Demand is what the host is asked for on each route.
+	Demand intake.Demand `json:"demand"`
+	// Works is how long a slot is taken by a request for a warm object, by route, as
+	// the host measures it.
+	Works map[string]time.Duration `json:"works,omitempty"`
+	// Homes is the share of each route's objects that stay in the host's region.
+	Homes map[string]float64 `json:"homes,omitempty"`
 	// Losses are what the host learned lately of requests that backend servers die
 	// of.
 	Losses []suspect.Loss `json:"losses,omitempty"`
@@ -84,6 +90,8 @@
 	mu      sync.Mutex
 	records []Host
 	heard   map[string]heard
+	// ways is the shortest time there and back, by the address for other hosts.
+	ways map[netip.AddrPort]time.Duration
 }
 
 type heard struct {
@@ -176,6 +184,36 @@
 	return addresses
 }
 
+// Met notes how long a beat took there and back.
+func (r *Roster) Met(address netip.AddrPort, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ways == nil {
+		r.ways = make(map[netip.AddrPort]time.Duration)
+	}
+	if known, isKnown := r.ways[address]; !isKnown || took < known {
+		r.ways[address] = took
+	}
+}
+
+// RoundTrip returns the time there and back to the nearest other region than the
+// given one, zero if that is not known.
+func (r *Roster) RoundTrip(region string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var nearest time.Duration
+	for _, h := range r.heard {
+		way, isKnown := r.ways[h.beat.Peers]
+		if h.beat.Region == region || !isKnown {
+			continue
+		}
+		if nearest == 0 || way < nearest {
+			nearest = way
+		}
+	}
+	return nearest
+}
+
 func (r *Roster) now() time.Time {
 	if r.Clock == nil {
 		return time.Now()
