Hosts tell each other what they know of the store and ask it anew in turns

Ruled out: a stale list (the host listed right once it was told); a lost cut (other hosts got their 410). Change: Follower has Behind, Refresh and Offer; beats carry the last change known by prefix; a host that is behind asks again, or takes a peer's copy while the store does not answer; watches last a turn each.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,12 +18,27 @@
 // hostPrefix is where the hosts keep their records in the store.
 const hostPrefix = "entry-hosts/"
 
-// follower follows a prefix of the store and logs when that stops and works again.
+// follow makes the followers of all that this host takes from the store.
+func (h *host) follow() {
+	h.followers = map[string]*objectstore.Follower{
+		platform.ConfigurationPrefix: h.follower(platform.ConfigurationPrefix, h.takeConfiguration),
+		platform.ServerPrefix:        h.follower(platform.ServerPrefix, h.takeServers),
+		platform.EvacuationPrefix:    h.follower(platform.EvacuationPrefix, h.takeEvacuations),
+		hostPrefix:                   h.follower(hostPrefix, h.takeHosts),
+	}
+}
+
+// follower follows a prefix of the store, logs when that stops and works again, and
+// tells the other hosts of each change.
 func (h *host) follower(prefix string, changed func(map[string]objectstore.Object)) *objectstore.Follower {
 	return &objectstore.Follower{
-		Source:  h.store,
-		Prefix:  prefix,
-		Changed: changed,
+		Source: h.store,
+		Prefix: prefix,
+		Wait:   h.watchWait,
+		Changed: func(objects map[string]objectstore.Object) {
+			changed(objects)
+			h.peers.now()
+		},
 		Failed: func(err error) {
 			h.log.Write(observe.StoreLost, zap.String("prefix", prefix), zap.Error(err))
 		},
@@ -32,19 +48,49 @@
 	}
 }
 
-func (h *host) followConfiguration(ctx context.Context) {
-	h.follower(platform.ConfigurationPrefix, func(objects map[string]objectstore.Object) {
-		o, found := objects[platform.ConfigurationKey]
-		if !found {
-			return
+// askPeriod is how often some host asks the store anew for what each prefix holds:
+// a watch may have fallen silent. The others learn of it by beats.
+const askPeriod = time.Second
+
+// watchWait is how long a watch waits. The hosts take turns at asking anew.
+func (h *host) watchWait() time.Duration {
+	turn := min(time.Duration(h.hostCount())*askPeriod, objectstore.DefaultWatchWait)
+	// Between a half and one and a half turns, so that hosts do not ask together.
+	return turn/2 + rand.N(turn)
+}
+
+// catchUp brings what this host knows up to what another tells that it knows: from
+// the store, or from the other host if the store does not answer.
+func (h *host) catchUp(ctx context.Context, theirs roster.Beat) {
+	for prefix, changed := range theirs.Known {
+		follower, isFollowed := h.followers[prefix]
+		if !isFollowed || !follower.Behind(changed) {
+			continue
+		}
+		if !follower.IsFailing() {
+			follower.Refresh()
+			continue
 		}
-		configuration, err := platform.DecodeConfiguration(o)
+		copied, err := h.peers.copy(ctx, theirs.Peers, prefix)
 		if err != nil {
-			h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
-			return
+			h.log.Write(observe.BeatUnsent, zap.String("to", theirs.Peers.String()), zap.Error(err))
+			continue
 		}
-		h.setConfiguration(configuration)
-	}).Run(ctx)
+		follower.Offer(copied)
+	}
+}
+
+func (h *host) takeConfiguration(objects map[string]objectstore.Object) {
+	o, found := objects[platform.ConfigurationKey]
+	if !found {
+		return
+	}
+	configuration, err := platform.DecodeConfiguration(o)
+	if err != nil {
+		h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
+		return
+	}
+	h.setConfiguration(configuration)
 }
 
 // setConfiguration puts a configuration in force if it is newer.
@@ -57,46 +103,40 @@
 	h.log.Write(observe.ConfigurationInForce, zap.Uint64("version", uint64(configuration.Version)))
 }
 
-func (h *host) followServers(ctx context.Context) {
-	h.follower(platform.ServerPrefix, func(objects map[string]objectstore.Object) {
-		machines := make([]objectstore.Machine, 0, len(objects))
-		for _, o := range objects {
-			machine, err := platform.DecodeServer(o, h.settings.Zones)
-			if err != nil {
-				h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
-				continue
-			}
-			machines = append(machines, machine)
+func (h *host) takeServers(objects map[string]objectstore.Object) {
+	machines := make([]objectstore.Machine, 0, len(objects))
+	for _, o := range objects {
+		machine, err := platform.DecodeServer(o, h.settings.Zones)
+		if err != nil {
+			h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
+			continue
 		}
-		h.pool.SetServers(machines)
-		h.knowsPool.Store(true)
-	}).Run(ctx)
+		machines = append(machines, machine)
+	}
+	h.pool.SetServers(machines)
+	h.knowsPool.Store(true)
 }
 
-func (h *host) followEvacuations(ctx context.Context) {
-	h.follower(platform.EvacuationPrefix, func(objects map[string]objectstore.Object) {
-		var zones []string
-		for _, o := range objects {
-			zones = append(zones, platform.DecodeEvacuation(o))
-		}
-		h.pool.SetEvacuated(zones)
-		h.log.Write(observe.ZonesEvacuated, zap.Strings("zones", zones))
-	}).Run(ctx)
+func (h *host) takeEvacuations(objects map[string]objectstore.Object) {
+	var zones []string
+	for _, o := range objects {
+		zones = append(zones, platform.DecodeEvacuation(o))
+	}
+	h.pool.SetEvacuated(zones)
+	h.log.Write(observe.ZonesEvacuated, zap.Strings("zones", zones))
 }
 
-func (h *host) followHosts(ctx context.Context) {
-	h.follower(hostPrefix, func(objects map[string]objectstore.Object) {
-		var records []roster.Host
-		for _, o := range objects {
-			var record roster.Host
-			if err := json.Unmarshal(o.Value, &record); err != nil || !record.Peers.IsValid() {
-				h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
-				continue
-			}
-			records = append(records, record)
+func (h *host) takeHosts(objects map[string]objectstore.Object) {
+	var records []roster.Host
+	for _, o := range objects {
+		var record roster.Host
+		if err := json.Unmarshal(o.Value, &record); err != nil || !record.Peers.IsValid() {
+			h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
+			continue
 		}
-		h.roster.SetRecords(records)
-	}).Run(ctx)
+		records = append(records, record)
+	}
+	h.roster.SetRecords(records)
 }
 
 // recordPause is the time between tries to write this host's record.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -39,7 +39,9 @@
 	client   *exchange.Client
 	suspects *suspect.List
 	handler  *intake.Handler
-	peers    peers
+	// followers follow the store, by prefix.
+	followers map[string]*objectstore.Follower
+	peers     peers
 
 	leaving   atomic.Bool
 	knowsPool atomic.Bool
@@ -101,6 +103,7 @@
 	}
 	h.peers.host = h
 	h.peers.kick = make(chan struct{}, 1)
+	h.follow()
 	return h
 }
 
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/roster"
 	"trefoilline.example/trefoilline/suspect"
@@ -23,6 +25,9 @@
 // beatPath is where hosts take beats of each other.
 const beatPath = "/trefoilline/beat"
 
+// copyPath is where hosts give others a copy of what they know of the store.
+const copyPath = "/trefoilline/copy"
+
 // maxBeat bounds a beat, in bytes.
 const maxBeat = 1 << 20
 
@@ -49,6 +54,7 @@
 func (p *peers) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+beatPath, p.receive)
+	mux.HandleFunc("GET "+copyPath, p.give)
 	return mux
 }
 
@@ -65,8 +71,73 @@
 		}
 	}
 	w.WriteHeader(http.StatusNoContent)
+	// The other host does not wait for this.
+	go p.host.catchUp(context.WithoutCancel(r.Context()), b)
+}
+
+// give gives a copy of what this host knows of a prefix.
+func (p *peers) give(w http.ResponseWriter, r *http.Request) {
+	follower, isFollowed := p.host.followers[r.URL.Query().Get("prefix")]
+	if !isFollowed {
+		http.Error(w, http.StatusText(http.StatusNotFound), http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(follower.Copy()); err != nil {
+		p.host.log.Write(observe.BeatUnsent, zap.String("to", r.RemoteAddr), zap.Error(err))
+	}
+}
+
+// copyTimeout bounds the fetching of a copy.
+const copyTimeout = 2 * time.Second
+
+// copy gets another host's copy of a prefix.
+func (p *peers) copy(ctx context.Context, address netip.AddrPort, prefix string) (objectstore.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	query := url.Values{
+		"prefix": {prefix},
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+copyPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return objectstore.Changes{}, &PeerError{
+			Address: address,
+			Cause:   err,
+		}
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return objectstore.Changes{}, &PeerError{
+			Address: address,
+			Cause:   err,
+		}
+	}
+	defer response.Body.Close()
+	var found objectstore.Changes
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxCopy)).Decode(&found); err != nil {
+		return objectstore.Changes{}, &PeerError{
+			Address: address,
+			Cause:   err,
+		}
+	}
+	return found, nil
+}
+
+// maxCopy bounds a copy, in bytes.
+const maxCopy = 16 << 20
+
+// PeerError reports that another host did not answer.
+type PeerError struct {
+	Address netip.AddrPort
+	Cause   error
 }
 
+func (e *PeerError) Error() string {
+	return "entry host " + e.Address.String() + ": " + e.Cause.Error()
+}
+
+func (e *PeerError) Unwrap() error { return e.Cause }
+
 // run sends beats until the context ends.
 func (p *peers) run(ctx context.Context) {
 	dialer := &net.Dialer{
@@ -86,10 +157,15 @@
 		case <-ctx.Done():
 		case <-ticker.C:
 		case <-p.kick:
+			// Changes often come in numbers; one beat tells of all.
+			pause(ctx, kickPause)
 		}
 	}
 }
 
+// kickPause is how long a beat that goes out early waits for further news.
+const kickPause = 20 * time.Millisecond
+
 // now makes beats go out at once.
 func (p *peers) now() {
 	select {
@@ -169,6 +245,7 @@
 		Incarnation: h.incarnation,
 		Sequence:    h.peers.sequence.Add(1),
 		Ready:       h.isReady(),
+		Known:       h.known(),
 		Asked:       h.book.Asked(),
 		Demand:      h.handler.Demand(),
 		Losses:      h.recentLosses(),
@@ -182,6 +259,15 @@
 	return b
 }
 
+// known is the last change that this host knows of each prefix.
+func (h *host) known() map[string]objectstore.Version {
+	known := make(map[string]objectstore.Version, len(h.followers))
+	for prefix, follower := range h.followers {
+		known[prefix] = follower.Known()
+	}
+	return known
+}
+
 // shareLoss tells the other hosts of a loss at once.
 func (h *host) shareLoss(loss suspect.Loss) {
 	h.losses.mu.Lock()
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -102,11 +102,10 @@
 
 // startLoops starts what runs beside the requests.
 func (h *host) startLoops(ctx context.Context, loops *sync.WaitGroup) {
+	for _, f := range h.followers {
+		loops.Go(func() { f.Run(ctx) })
+	}
 	for _, loop := range []func(context.Context){
-		h.followConfiguration,
-		h.followServers,
-		h.followEvacuations,
-		h.followHosts,
 		h.keepRecord,
 		h.peers.run,
 		h.divide,
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"sync"
 	"time"
 )
 
@@ -25,12 +26,17 @@
 //
 // An object that is gone when the store is back after an outage may belong to
 // something alive that could not renew it. It is kept for a grace time.
+//
+// A watch may fall silent or miss changes without an error. Followers of several
+// hosts make up for each other: tell each what the others know with
+// [Follower.Behind], and have it ask again with [Follower.Refresh], or take over
+// their copy with [Follower.Offer].
 type Follower struct {
 	Source Source
 	// Prefix is what the keys start with.
 	Prefix string
-	// Wait is how long one watch waits; [DefaultWatchWait] if zero.
-	Wait time.Duration
+	// Wait returns how long the next watch waits; [DefaultWatchWait] if nil.
+	Wait func() time.Duration
 	// Grace is how long objects are kept that went during an outage;
 	// [DefaultGrace] if zero.
 	Grace time.Duration
@@ -44,70 +50,137 @@
 	// Clock tells the time; [time.Now] if nil.
 	Clock func() time.Time
 
+	mu      sync.Mutex
 	objects map[string]Object
 	// missing holds when the objects are dropped that the store lacks.
 	missing map[string]time.Time
 	// next is the version to watch from; zero before a list.
 	next Version
+	// changed is the version of the last change that was seen.
+	changed Version
+	// relist tells that the next call lists.
+	relist bool
 	// failing is when calls began to fail, zero while they work.
 	failing time.Time
 	// returned is when the store was back after an outage.
 	returned time.Time
 	pause    time.Duration
+	// wake ends the current call or pause.
+	wake context.CancelFunc
 }
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
+		err := f.step(ctx)
+		if err != nil && ctx.Err() == nil {
 			f.fail(ctx, err)
-			continue
 		}
-		f.succeed()
 	}
 }
 
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
-	if f.next == 0 {
-		found, err := f.Source.Snapshot(ctx, f.Prefix)
-		if err != nil {
-			return err
-		}
+	call, end := context.WithCancel(ctx)
+	defer end()
+	f.mu.Lock()
+	f.wake = end
+	after, lists, wait := f.next, f.next == 0 || f.relist, f.wait()
+	f.mu.Unlock()
+	if lists {
+		found, err := f.Source.Snapshot(call, f.Prefix)
+		return f.take(call, found, err, f.replace)
+	}
+	seen, err := f.Source.Watch(call, f.Prefix, after, wait)
+	return f.take(call, seen, err, f.apply)
+}
+
+// take takes the answer of a call. A call that was ended to ask again is no
+// failure.
+func (f *Follower) take(call context.Context, answer Changes, err error, use func(Changes)) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var gone *HistoryGoneError
+	switch {
+	case err == nil:
+		f.succeed()
+		use(answer)
+	case errors.As(err, &gone):
 		f.succeed()
-		f.replace(found)
+		f.relist = true
+	case call.Err() != nil:
 		return nil
 	}
-	seen, err := f.Source.Watch(ctx, f.Prefix, f.next, f.wait())
-	var gone *HistoryGoneError
-	if errors.As(err, &gone) {
-		f.next = 0
+	if gone != nil {
 		return nil
 	}
-	if err != nil {
-		return err
+	return err
+}
+
+// Known returns the version of the last change that is known.
+func (f *Follower) Known() Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Behind tells whether a change of the version is not known yet.
+func (f *Follower) Behind(changed Version) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return changed > f.next
+}
+
+// Refresh asks the store again at once.
+func (f *Follower) Refresh() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.wake != nil {
+		f.wake()
+	}
+}
+
+// IsFailing tells whether the store does not answer.
+func (f *Follower) IsFailing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failing.IsZero() || f.next == 0
+}
+
+// Copy returns all objects and the version up to which they are known.
+func (f *Follower) Copy() Changes {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	found := Changes{
+		Next: f.next,
+	}
+	for _, o := range f.objects {
+		found.Objects = append(found.Objects, o)
+	}
+	return found
+}
+
+// Offer takes another follower's copy if it is newer.
+func (f *Follower) Offer(theirs Changes) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if theirs.Next > f.next {
+		f.replace(theirs)
 	}
-	f.succeed()
-	f.apply(seen)
-	return nil
 }
 
 // wait is how long the next watch waits: until an object is dropped, at most.
 func (f *Follower) wait() time.Duration {
-	wait := orDefault(f.Wait, DefaultWatchWait)
+	wait := DefaultWatchWait
+	if f.Wait != nil {
+		wait = f.Wait()
+	}
 	for _, at := range f.missing {
 		wait = min(wait, max(at.Sub(f.now()), time.Millisecond))
 	}
 	return wait
 }
 
-func orDefault(value, otherwise time.Duration) time.Duration {
-	if value > 0 {
-		return value
-	}
-	return otherwise
-}
-
 func (f *Follower) now() time.Time {
 	if f.Clock == nil {
 		return time.Now()
@@ -124,9 +197,9 @@
 	for key, known := range f.objects {
 		o, isListed := listed[key]
 		switch {
-		case !isListed:
+		case !isListed && known.Version <= found.Next:
 			f.remove(key)
-		case o.Version < known.Version:
+		case isListed && o.Version < known.Version:
 			listed[key] = known
 		}
 	}
@@ -134,10 +207,12 @@
 		f.objects = make(map[string]Object)
 	}
 	maps.Copy(f.objects, listed)
-	for key := range listed {
+	for key, o := range listed {
 		delete(f.missing, key)
+		f.changed = max(f.changed, o.Version)
 	}
 	f.next = max(found.Next, f.next, 1)
+	f.relist = false
 	f.Changed(f.objects)
 }
 
@@ -146,6 +221,7 @@
 	f.next = max(f.next, seen.Next)
 	changed := f.drop()
 	for _, o := range seen.Objects {
+		f.changed = max(f.changed, o.Version)
 		known, isKnown := f.objects[o.Key]
 		if isKnown && o.Version < known.Version {
 			continue
@@ -165,9 +241,10 @@
 
 // remove drops an object that the store lacks, now or after the grace.
 func (f *Follower) remove(key string) {
-	grace := orDefault(f.Grace, DefaultGrace)
+	grace := f.grace()
 	if f.returned.IsZero() || f.now().Sub(f.returned) >= grace {
 		delete(f.objects, key)
+		delete(f.missing, key)
 		return
 	}
 	if f.missing == nil {
@@ -178,6 +255,13 @@
 	}
 }
 
+func (f *Follower) grace() time.Duration {
+	if f.Grace > 0 {
+		return f.Grace
+	}
+	return DefaultGrace
+}
+
 // drop removes the objects whose grace is over.
 func (f *Follower) drop() bool {
 	dropped := false
@@ -194,9 +278,9 @@
 
 // fail notes a failed call and pauses.
 func (f *Follower) fail(ctx context.Context, err error) {
-	if ctx.Err() != nil {
-		return
-	}
+	rest, end := context.WithCancel(ctx)
+	defer end()
+	f.mu.Lock()
 	if f.failing.IsZero() {
 		f.failing = f.now()
 		if f.Failed != nil {
@@ -204,10 +288,12 @@
 		}
 	}
 	f.pause = min(max(2*f.pause, firstPause), lastPause)
+	f.wake = end
 	timer := time.NewTimer(f.pause)
+	f.mu.Unlock()
 	defer timer.Stop()
 	select {
-	case <-ctx.Done():
+	case <-rest.Done():
 	case <-timer.C:
 	}
 }
--- a/objectstore/follower_test.go
+++ b/objectstore/follower_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 
 // script is a source that answers with prepared steps, and then waits.
 type script struct {
+	mu    sync.Mutex
 	steps []step
 	asked []objectstore.Version
 }
@@ -29,7 +31,8 @@
 var errDown = errors.New("down")
 
 func (s *script) next(ctx context.Context, snapshot bool, wait time.Duration) (objectstore.Changes, error) {
-	if len(s.steps) == 0 || s.steps[0].snapshot != snapshot {
+	now, isPrepared := s.take(snapshot)
+	if !isPrepared {
 		select {
 		case <-ctx.Done():
 			return objectstore.Changes{}, ctx.Err()
@@ -37,9 +40,26 @@
 			return objectstore.Changes{}, nil
 		}
 	}
+	return now.changes, now.err
+}
+
+// take returns the next step if it is of the kind that is asked for.
+func (s *script) take(snapshot bool) (step, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.steps) == 0 || s.steps[0].snapshot != snapshot {
+		return step{}, false
+	}
 	now := s.steps[0]
 	s.steps = s.steps[1:]
-	return now.changes, now.err
+	return now, true
+}
+
+// prepare sets the next steps.
+func (s *script) prepare(steps ...step) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps = steps
 }
 
 func (s *script) Snapshot(ctx context.Context, _ string) (objectstore.Changes, error) {
@@ -231,3 +251,66 @@
 	}
 	return seen
 }
+
+// TestFollowerAsksAgainWhenOthersKnowMore answers a watch that misses a change
+// without an error.
+func TestFollowerAsksAgainWhenOthersKnowMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &script{
+			steps: []step{
+				{
+					snapshot: true,
+					changes:  changes(5, at("a", 2)),
+				},
+			},
+		}
+		follower := objectstore.Follower{
+			Source:  source,
+			Changed: func(map[string]objectstore.Object) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			follower.Run(ctx)
+		}()
+		time.Sleep(time.Second)
+		require.False(t, follower.Behind(5))
+		require.True(t, follower.Behind(9))
+		source.prepare(
+			step{
+				err: &objectstore.HistoryGoneError{},
+			},
+			step{
+				snapshot: true,
+				changes:  changes(9, at("a", 2), at("b", 9)),
+			},
+		)
+		follower.Refresh()
+		time.Sleep(time.Second)
+		require.Len(t, follower.Copy().Objects, 2)
+		require.Equal(t, objectstore.Version(9), follower.Known())
+		require.False(t, follower.Behind(9))
+		cancel()
+		<-done
+	})
+}
+
+func TestFollowerTakesANewerCopyOfAnotherAndNoOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var seen []string
+		follower := objectstore.Follower{
+			Source: &script{},
+			Changed: func(objects map[string]objectstore.Object) {
+				seen = slices.Sorted(maps.Keys(objects))
+			},
+		}
+		follower.Offer(changes(9, at("a", 2), at("b", 9)))
+		require.Equal(t, []string{"a", "b"}, seen)
+		follower.Offer(changes(8, at("a", 2)))
+		require.Equal(t, []string{"a", "b"}, seen)
+		follower.Offer(changes(12, at("b", 9)))
+		require.Equal(t, []string{"b"}, seen)
+		require.Equal(t, objectstore.Version(12), follower.Copy().Next)
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,6 +27,7 @@
 	"sync"
 	"time"
 
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/placement"
 	"trefoilline.example/trefoilline/quota"
 	"trefoilline.example/trefoilline/routing"
@@ -65,6 +66,9 @@
 	Ready bool `json:"ready"`
 	// Version is the configuration in force on the host.
 	Version routing.Version `json:"version"`
+	// Known is the version of the last change of the store that the host knows, by
+	// prefix.
+	Known map[string]objectstore.Version `json:"known,omitempty"`
 	// Asked is what the host is asked for by each team.
 	Asked quota.Asked `json:"asked,omitempty"`
 	// Demand is what the host is asked for on each route and may be served
