Let a call that makes up for a missed change have its time, then take a peer's copy

Ruled out: lost beats (the other hosts logged no failed send). Change: Follower.CatchUp decides: ask the store once, wait 600 ms, then take the other's copy. Its test failed with the former catchUp (20 refreshes in 1.6 s).

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -59,24 +59,25 @@
 	return turn/2 + rand.N(turn)
 }
 
-// catchUp brings what this host knows up to what another tells that it knows: from
-// the store, or from the other host if the store does not answer.
+// catchUp brings what this host knows up to what another tells that it knows.
 func (h *host) catchUp(ctx context.Context, theirs roster.Beat) {
 	for prefix, changed := range theirs.Known {
 		follower, isFollowed := h.followers[prefix]
-		if !isFollowed || !follower.Behind(changed) {
+		if !isFollowed {
 			continue
 		}
-		if !follower.IsFailing() {
+		switch follower.CatchUp(changed) {
+		case objectstore.AskOther:
+			copied, err := h.peers.copy(ctx, theirs.Peers, prefix)
+			if err != nil {
+				h.log.Write(observe.BeatUnsent, zap.String("to", theirs.Peers.String()), zap.Error(err))
+				continue
+			}
+			follower.Offer(copied)
+		case objectstore.AskStore:
 			follower.Refresh()
-			continue
-		}
-		copied, err := h.peers.copy(ctx, theirs.Peers, prefix)
-		if err != nil {
-			h.log.Write(observe.BeatUnsent, zap.String("to", theirs.Peers.String()), zap.Error(err))
-			continue
+		case objectstore.UpToDate, objectstore.Asking:
 		}
-		follower.Offer(copied)
 	}
 }
 
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -29,8 +29,8 @@
 //
 // A watch may fall silent or miss changes without an error. Followers of several
 // hosts make up for each other: tell each what the others know with
-// [Follower.Behind], and have it ask again with [Follower.Refresh], or take over
-// their copy with [Follower.Offer].
+// [Follower.CatchUp], and have it ask again with [Follower.Refresh], or take over
+// their copy with [Follower.Offer], as it says.
 type Follower struct {
 	Source Source
 	// Prefix is what the keys start with.
@@ -60,6 +60,9 @@
 	changed Version
 	// relist tells that the next call lists.
 	relist bool
+	// asked is when something was last done about a change that others know, zero
+	// if none is missing.
+	asked time.Time
 	// failing is when calls began to fail, zero while they work.
 	failing time.Time
 	// returned is when the store was back after an outage.
@@ -124,11 +127,43 @@
 	return f.changed
 }
 
-// Behind tells whether a change of the version is not known yet.
-func (f *Follower) Behind(changed Version) bool {
+// Step is what a follower does about a change that others know.
+type Step int
+
+// The steps.
+const (
+	// UpToDate: the change is known.
+	UpToDate Step = iota
+	// Asking: a call is under way that may bring it.
+	Asking
+	// AskStore: the store is to be asked anew.
+	AskStore
+	// AskOther: the store did not bring it; the other's copy is to be taken.
+	AskOther
+)
+
+// askTime is how long a call may take before another way is tried.
+const askTime = 600 * time.Millisecond
+
+// CatchUp tells what to do about a change that another follower knows. It is
+// called often, and lets each call have its time.
+func (f *Follower) CatchUp(changed Version) Step {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return changed > f.next
+	now := f.now()
+	if changed <= f.next {
+		f.asked = time.Time{}
+		return UpToDate
+	}
+	isFirst := f.asked.IsZero()
+	if !isFirst && now.Sub(f.asked) < askTime {
+		return Asking
+	}
+	f.asked = now
+	if isFirst && f.failing.IsZero() && f.next > 0 {
+		return AskStore
+	}
+	return AskOther
 }
 
 // Refresh asks the store again at once.
@@ -140,13 +175,6 @@
 	}
 }
 
-// IsFailing tells whether the store does not answer.
-func (f *Follower) IsFailing() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.failing.IsZero() || f.next == 0
-}
-
 // Copy returns all objects and the version up to which they are known.
 func (f *Follower) Copy() Changes {
 	f.mu.Lock()
--- a/objectstore/follower_test.go
+++ b/objectstore/follower_test.go
@@ -275,8 +275,9 @@
 			follower.Run(ctx)
 		}()
 		time.Sleep(time.Second)
-		require.False(t, follower.Behind(5))
-		require.True(t, follower.Behind(9))
+		require.Equal(t, objectstore.UpToDate, follower.CatchUp(5))
+		require.Equal(t, objectstore.AskStore, follower.CatchUp(9))
+		require.Equal(t, objectstore.Asking, follower.CatchUp(9))
 		source.prepare(
 			step{
 				err: &objectstore.HistoryGoneError{},
@@ -290,7 +291,7 @@
 		time.Sleep(time.Second)
 		require.Len(t, follower.Copy().Objects, 2)
 		require.Equal(t, objectstore.Version(9), follower.Known())
-		require.False(t, follower.Behind(9))
+		require.Equal(t, objectstore.UpToDate, follower.CatchUp(9))
 		cancel()
 		<-done
 	})
@@ -314,3 +315,23 @@
 		require.Equal(t, objectstore.Version(12), follower.Copy().Next)
 	})
 }
+
+// TestFollowerLetsACallHaveItsTime answers beats of many hosts that tell of the same
+// change: each new call would end the one before.
+func TestFollowerLetsACallHaveItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		follower := objectstore.Follower{
+			Source:  &script{},
+			Changed: func(map[string]objectstore.Object) {},
+		}
+		follower.Offer(changes(5, at("a", 2)))
+		steps := make(map[objectstore.Step]int)
+		for range 20 {
+			steps[follower.CatchUp(9)]++
+			time.Sleep(80 * time.Millisecond)
+		}
+		require.Equal(t, 1, steps[objectstore.AskStore])
+		require.Equal(t, 2, steps[objectstore.AskOther])
+		require.Equal(t, 17, steps[objectstore.Asking])
+	})
+}
