--- a/intake/call.go
+++ b/intake/call.go
@@ -50,6 +50,7 @@
 // admit does what comes before a backend server is looked for.
 func (c *call) admit() error {
 	for _, step := range []func() error{
+		c.checkStay,
 		c.findRoute,
 		c.findTeam,
 		c.setDeadline,
@@ -63,6 +64,14 @@
 	return nil
 }
 
+// checkStay refuses a request that may not end before this host stops.
+func (c *call) checkStay() error {
+	if !c.handler.takes(c.start) {
+		return &LeavingError{}
+	}
+	return nil
+}
+
 func (c *call) findRoute() error {
 	c.index = c.handler.index.Load()
 	if c.index == nil {
--- a/intake/errors.go
+++ b/intake/errors.go
@@ -12,6 +12,11 @@
 
 func (*StartingError) Error() string { return "this host knows no configuration yet" }
 
+// LeavingError reports that this host stops too soon for the request.
+type LeavingError struct{}
+
+func (*LeavingError) Error() string { return "this host is about to stop" }
+
 // NoRouteError reports a request for which there is no route.
 type NoRouteError struct {
 	Host string
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -71,8 +71,6 @@
 	Budget *Budget
 	// Suspects knows the requests that backend servers die of; it may be nil.
 	Suspects retry.Suspects
-	// Leaving tells whether this host is about to stop; never if nil.
-	Leaving func() bool
 	// Clock tells the time; [time.Now] if nil.
 	Clock func() time.Time
 	Log   observe.Log
@@ -82,6 +80,18 @@
 	demand   demand
 	running  atomic.Int64
 	counters Counters
+	// lastTake is until when this host takes requests; nil while it stays.
+	lastTake atomic.Pointer[time.Time]
+}
+
+// takePart is the part of the time before it stops in which a host still takes
+// requests. Those that come later may not end in time, and are refused.
+const takePart = 0.4
+
+// Leave says that the host stops at the end of the span. From now on each answer
+// asks its caller to use another host.
+func (h *Handler) Leave(span time.Duration) {
+	h.lastTake.Store(new(h.now().Add(time.Duration(takePart * float64(span)))))
 }
 
 // SetConfiguration puts a configuration in force for new requests. One that is
@@ -131,5 +141,11 @@
 }
 
 func (h *Handler) isLeaving() bool {
-	return h.Leaving != nil && h.Leaving()
+	return h.lastTake.Load() != nil
+}
+
+// takes tells whether a request that comes now is taken.
+func (h *Handler) takes(now time.Time) bool {
+	last := h.lastTake.Load()
+	return last == nil || now.Before(*last)
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -67,6 +67,7 @@
 			Base: settings.Store,
 		},
 		pool: &placement.Pool{
+			Host:   settings.Host,
 			Region: settings.Region,
 		},
 		book: &quota.Book{},
@@ -98,7 +99,6 @@
 			Hosts: h.hostCount,
 		},
 		Suspects: h.suspects,
-		Leaving:  h.leaving.Load,
 		Log:      log,
 	}
 	h.peers.host = h
@@ -168,13 +168,13 @@
 	return time.Duration(lookUpPart * h.settings.LookUpSeconds * float64(time.Second))
 }
 
-// regionHosts returns how many live hosts each region has.
-func (h *host) regionHosts() map[string]int {
-	hosts := map[string]int{
-		h.settings.Region: 1,
+// regionHosts returns the live hosts of each region.
+func (h *host) regionHosts() map[string][]string {
+	hosts := map[string][]string{
+		h.settings.Region: {h.settings.Host},
 	}
 	for _, b := range h.roster.Live() {
-		hosts[b.Region]++
+		hosts[b.Region] = append(hosts[b.Region], b.Name)
 	}
 	return hosts
 }
--- a/internal/host/leave.go
+++ b/internal/host/leave.go
@@ -12,7 +12,7 @@
 )
 
 // leaveMargin is how long before the end of the grace time the host stops.
-const leaveMargin = 700 * time.Millisecond
+const leaveMargin = 600 * time.Millisecond
 
 // leave takes the host out of look-ups and serves on: callers that know of it end
 // their requests, and each answer asks them to use another host. At the end idle
@@ -21,6 +21,7 @@
 	begun := time.Now()
 	h.log.Write(observe.LeavingStarted, zap.Int("running", h.handler.Running()))
 	h.leaving.Store(true)
+	h.handler.Leave(h.settings.grace())
 	h.peers.now()
 	end := begun.Add(h.settings.grace() - leaveMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -81,26 +81,6 @@
 	}
 }
 
-// mayWarm tells whether a cold server has room for a request of this host now.
-func (p *Pool) mayWarm(s *server, now time.Time) bool {
-	rate := p.coldRate(s)
-	if rate == 0 {
-		return true
-	}
-	s.cold.Set(now, rate, coldBurst)
-	return s.cold.Has(now)
-}
-
-// coldBurst is how many requests each host may send a cold server at once.
-const coldBurst = 1
-
-// coldRate is this host's part of what a cold server takes, zero if that is not
-// bounded. Hosts of other regions take none while the server's region has hosts.
-func (p *Pool) coldRate(s *server) float64 {
-	whole := p.settings[s.Service].ColdRate
-	return whole / float64(max(p.hosts[s.Region], 1))
-}
-
 // choose takes a place for the request if one has room.
 func (p *Pool) choose(candidates []*server, now time.Time) *server {
 	var best *server
@@ -120,7 +100,7 @@
 	if best == nil {
 		return nil
 	}
-	if best.isCold(now) && p.coldRate(best) > 0 && !best.cold.Take(now) {
+	if best.isCold(now) && !p.warm(best, now) {
 		return nil
 	}
 	best.running++
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -21,6 +21,8 @@
 // Pool is what one host believes of all backend servers. The zero value has none;
 // it is safe for concurrent use and must not be copied.
 type Pool struct {
+	// Host is the name of this host.
+	Host string
 	// Region is where this host runs.
 	Region string
 	// Places is how many backend servers an object has; [DefaultPlaces] if zero.
@@ -37,8 +39,8 @@
 	settings map[string]routing.Service
 	// evacuated holds the zones that get nothing.
 	evacuated []string
-	// hosts is how many hosts share the rate of a cold server, by region.
-	hosts map[string]int
+	// hosts are the live hosts by region.
+	hosts map[string][]string
 	// homes is the share of each route's objects that stay in this region.
 	homes map[string]float64
 	works map[string]*work
@@ -148,8 +150,8 @@
 	}
 }
 
-// SetHosts takes how many live hosts each region has.
-func (p *Pool) SetHosts(hosts map[string]int) {
+// SetHosts takes the names of the live hosts of each region, this one among them.
+func (p *Pool) SetHosts(hosts map[string][]string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = hosts
