Leave hosts that are not heard their parts of the rates; use part of the allowed overshoot

Change: reports carry parts; those of hosts that are not heard are kept free; nothing passes before the hosts are known; half of the overshoot and slack that the operators allow goes to single requests.

--- a/intake/finish.go
+++ b/intake/finish.go
@@ -98,6 +98,10 @@
 // known.
 const DefaultReturn = 100 * time.Millisecond
 
+// longestReturn bounds for how long callers are sent away: what is known now does
+// not hold for longer.
+const longestReturn = 5 * time.Second
+
 // returnIn tells when a request that found no room may find some.
 func returnIn(cause error) time.Duration {
 	var busy *placement.BusyError
@@ -110,7 +114,7 @@
 // write answers with a status of this host's own.
 func (c *call) write(status int, wait time.Duration, cause error) {
 	c.closeIfLeaving()
-	if wait > 0 {
+	if wait = min(wait, longestReturn); wait > 0 {
 		c.w.Header().Set("Retry-After", c.handler.Dialect.FormatRetry(wait))
 	}
 	http.Error(c.w, http.StatusText(status), status)
--- a/internal/host/divide.go
+++ b/internal/host/divide.go
@@ -20,7 +20,9 @@
 func (h *host) divide(ctx context.Context) {
 	last := time.Now()
 	for ctx.Err() == nil {
-		h.book.Divide(h.othersAsked())
+		if h.knowsHosts.Load() {
+			h.book.Divide(h.reports())
+		}
 		h.pool.SetHosts(h.regionHosts())
 		now := time.Now()
 		h.moveAway(now.Sub(last))
@@ -29,16 +31,22 @@
 	}
 }
 
-// othersAsked is what all other hosts are asked for.
-func (h *host) othersAsked() []quota.Asked {
-	var others []quota.Asked
-	for _, b := range h.roster.Remembered() {
-		others = append(others, b.Asked)
+// reports is what all other hosts that may be there last told of the teams.
+func (h *host) reports() []quota.Report {
+	live := make(map[string]struct{})
+	for _, b := range h.roster.Live() {
+		live[b.Name] = struct{}{}
 	}
-	for range h.roster.Unheard() {
-		others = append(others, nil)
+	var reports []quota.Report
+	for _, b := range h.roster.Remembered() {
+		_, isLive := live[b.Name]
+		reports = append(reports, quota.Report{
+			Asked: b.Asked,
+			Parts: b.Parts,
+			Live:  isLive,
+		})
 	}
-	return others
+	return append(reports, make([]quota.Report, len(h.roster.Unheard()))...)
 }
 
 // moveAway sets which part of this region's objects has its places elsewhere.
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -138,6 +138,7 @@
 		records = append(records, record)
 	}
 	h.roster.SetRecords(records)
+	h.knowsHosts.Store(true)
 }
 
 // recordPause is the time between tries to write this host's record.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -43,9 +43,12 @@
 	followers map[string]*objectstore.Follower
 	peers     peers
 
-	leaving   atomic.Bool
-	knowsPool atomic.Bool
-	losses    losses
+	leaving atomic.Bool
+	// knowsPool and knowsHosts tell that the backend servers and the other hosts
+	// are known.
+	knowsPool  atomic.Bool
+	knowsHosts atomic.Bool
+	losses     losses
 	// away is the share of each service's load that has its places elsewhere.
 	away atomic.Pointer[placement.Away]
 	// told is when the parts were last logged.
@@ -70,7 +73,10 @@
 			Host:   settings.Host,
 			Region: settings.Region,
 		},
-		book: &quota.Book{},
+		book: &quota.Book{
+			Overshoot: settings.QuotaOvershoot,
+			Slack:     settings.QuotaSlack,
+		},
 		roster: &roster.Roster{
 			Self: settings.Host,
 		},
@@ -123,7 +129,7 @@
 
 // isReady tells whether the host takes callers.
 func (h *host) isReady() bool {
-	return h.handler.Configuration() != nil && h.knowsPool.Load() && !h.leaving.Load()
+	return h.handler.Configuration() != nil && h.knowsPool.Load() && h.knowsHosts.Load() && !h.leaving.Load()
 }
 
 // record is what the store tells other hosts of this one.
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -247,6 +247,7 @@
 		Ready:       h.isReady(),
 		Known:       h.known(),
 		Asked:       h.book.Asked(),
+		Parts:       h.book.Parts(),
 		Demand:      h.handler.Demand(),
 		Losses:      h.recentLosses(),
 		Works:       h.pool.Works(),
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -34,6 +34,10 @@
 	LookUpSeconds float64 `json:"look-up-seconds"`
 	// GraceSeconds is how long a host that is told to stop may take.
 	GraceSeconds float64 `json:"grace-seconds"`
+	// QuotaOvershoot is by which part a team may go beyond its rate and burst, and
+	// QuotaSlack by how many requests besides, over all hosts.
+	QuotaOvershoot float64 `json:"quota-overshoot"`
+	QuotaSlack     float64 `json:"quota-slack"`
 	// LogLevel is the least level to log; info if empty.
 	LogLevel string `json:"log-level"`
 	// RetryRatio and RetrySlack bound the sends beyond the first of each request,
@@ -108,6 +112,8 @@
 	need("peers", s.Peers.IsValid() && s.Peers.Port() > 0, address)
 	need("store", s.Store.IsValid() && s.Store.Port() > 0, address)
 	need("look-up-seconds", s.LookUpSeconds > 0, "a number above zero")
+	need("quota-overshoot", s.QuotaOvershoot >= 0, "a number, zero or more")
+	need("quota-slack", s.QuotaSlack >= 0, "a number, zero or more")
 	_, err := zapcore.ParseLevel(s.LogLevel)
 	need("log-level", err == nil, "debug, info, warn or error")
 	need("grace-seconds", s.GraceSeconds > 0, "a number above zero")
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -104,7 +104,7 @@
 	if b.Rate <= 0 {
 		return math.MaxInt64
 	}
-	return time.Duration((1 - b.tokens) / b.Rate * float64(time.Second))
+	return time.Duration((1-b.tokens)/b.Rate*float64(time.Second)) + 1
 }
 
 // Set changes the rate and the burst from now on. What was saved beyond the new
--- /dev/null
+++ b/placement/homes_test.go
@@ -0,0 +1,129 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/placement"
+)
+
+// region is a region under a load in the replay below.
+type region struct {
+	slots float64
+	// demand is how many slots its callers fill.
+	demand float64
+}
+
+// replay plays regions whose load moves by Step for the time, and returns the share
+// of the first that is placed elsewhere, every 250 ms.
+func replay(regions map[string]region, span time.Duration, start placement.Away) []float64 {
+	const tick = 250 * time.Millisecond
+	shares := make(map[string]float64)
+	for name := range regions {
+		shares[name] = start[name]
+	}
+	var of []float64
+	for range int(span / tick) {
+		crowding := make(placement.Crowding)
+		for name, r := range regions {
+			load := r.demand * (1 - shares[name])
+			for other, o := range regions {
+				if other != name {
+					load += o.demand * shares[other] / float64(len(regions)-1)
+				}
+			}
+			crowding[name] = load / r.slots
+		}
+		for name := range regions {
+			away := placement.Away{
+				"stock": shares[name],
+			}
+			shares[name] = away.Step("stock", name, crowding, tick)
+		}
+		of = append(of, shares["accra"])
+	}
+	return of
+}
+
+// TestARegionWithFewSlotsPlacesItsExcessElsewhere replays a third of the callers at
+// a twelfth of the slots.
+func TestARegionWithFewSlotsPlacesItsExcessElsewhere(t *testing.T) {
+	regions := map[string]region{
+		"accra":  {slots: 8, demand: 13},
+		"kumasi": {slots: 40, demand: 13},
+		"tamale": {slots: 48, demand: 13},
+	}
+	shares := replay(regions, 30*time.Second, nil)
+	last := shares[len(shares)-1]
+	require.Greater(t, last, 0.5)
+	// It stays there.
+	require.InDelta(t, last, shares[len(shares)-20], 0.05)
+	for i := 8; i < len(shares); i++ {
+		require.LessOrEqual(t, shares[i]-shares[i-8], 0.11, "in two seconds")
+	}
+}
+
+func TestAShareComesBackWhenTheRegionHasRoom(t *testing.T) {
+	regions := map[string]region{
+		"accra":  {slots: 40, demand: 10},
+		"kumasi": {slots: 40, demand: 10},
+	}
+	shares := replay(regions, 30*time.Second, placement.Away{
+		"accra": 0.8,
+	})
+	require.Less(t, shares[len(shares)-1], 0.05)
+	for i := 8; i < len(shares); i++ {
+		require.LessOrEqual(t, shares[i-8]-shares[i], 0.11, "in two seconds")
+	}
+}
+
+// TestNothingMovesWhileAllRegionsAreCrowded replays the start of a day on which no
+// object is warm: objects that move would be cold again.
+func TestNothingMovesWhileAllRegionsAreCrowded(t *testing.T) {
+	regions := map[string]region{
+		"accra":  {slots: 32, demand: 45},
+		"kumasi": {slots: 32, demand: 44},
+		"tamale": {slots: 32, demand: 43},
+	}
+	for _, share := range replay(regions, 20*time.Second, nil) {
+		require.Less(t, share, 0.02)
+	}
+}
+
+func TestRoutesWithTheMostTimeLeftGoFirst(t *testing.T) {
+	loads := []placement.RouteLoad{
+		{
+			Route:   "report",
+			Service: "packs",
+			Target:  800 * time.Millisecond,
+			Work:    290 * time.Millisecond,
+			Rate:    20,
+		},
+		{
+			Route:   "download",
+			Service: "packs",
+			Target:  250 * time.Millisecond,
+			Work:    60 * time.Millisecond,
+			Rate:    16,
+		},
+	}
+	homes := placement.Homes(loads, placement.Away{
+		"packs": 0.4,
+	}, 110*time.Millisecond)
+	require.Equal(t, 1.0, homes["download"])
+	// 0.4 of 6.76 slots, of the 5.8 of the reports.
+	require.InDelta(t, 1-0.4*6.76/5.8, homes["report"], 0.001)
+}
+
+func TestAGuessIsAboveZeroOnlyWhereSlotsAreFew(t *testing.T) {
+	slots := map[string]float64{
+		"accra":  8,
+		"kumasi": 40,
+		"tamale": 48,
+	}
+	require.InDelta(t, 0.5, placement.GuessAway("accra", slots), 0.001)
+	require.Zero(t, placement.GuessAway("kumasi", slots))
+	require.Zero(t, placement.GuessAway("kumasi", nil))
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -5,9 +5,9 @@
 from host to host, a team that asks for many times its rate, a rate that is lowered
 while callers press, hosts that are lost, return, or are cut off.
 
-The division is not exact while reports are on their way. The parts are computed so
-that it errs on the side of less: a host that is not heard keeps its last part, and
-a new host saves no burst.
+The division is not exact while reports are on their way. A host that is not heard
+keeps its last part, and a new host saves no burst. The operators allow some
+overshoot; half of it lets single requests pass where a host's part is small.
 
 # Usage
 
@@ -17,7 +17,7 @@
 		// Refuse, and tell the caller to come back after the wait.
 	}
 	// Every few hundred milliseconds:
-	book.Divide(quota.Reports{...})
+	book.Divide(reports)
 
 Rates are in requests per second.
 */
@@ -34,9 +34,28 @@
 // Asked is what a host is asked for, by team, in requests per second.
 type Asked map[string]float64
 
+// Parts are a host's parts of the rates, by team.
+type Parts map[string]float64
+
+// Report is what another host last told.
+type Report struct {
+	Asked Asked
+	Parts Parts
+	// Live tells that the host is heard. One that is not may be cut off and serve
+	// on: its parts are left to it.
+	Live bool
+}
+
 // floor is the part of a team's rate that all hosts share evenly, so that a
 // request finds a token where none came lately.
-const floor = 0.15
+const floor = 0.4
+
+// askedWindow is over how long the demand is counted: so long that a host's part
+// does not follow single requests.
+const askedWindow = 700 * time.Millisecond
+
+// spent is the part of the allowed overshoot that is used.
+const spent = 0.5
 
 // smallestBurst lets single requests pass where a host's part is small.
 const smallestBurst = 1
@@ -44,12 +63,19 @@
 // Book keeps the accounts of all teams on one host. The zero value is ready and
 // knows no team. It is safe for concurrent use and must not be copied.
 type Book struct {
+	// Overshoot is by which part of its rate and burst a team may go beyond them,
+	// and Slack by how many requests besides, over all hosts in a window.
+	Overshoot float64
+	Slack     float64
 	// Clock tells the time; [time.Now] if nil.
 	Clock func() time.Time
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	others   []Asked
+	others   []Report
+	// divided tells that others is known. Until then nothing passes that has a
+	// rate: all hosts may be starting.
+	divided bool
 }
 
 // account is one team's.
@@ -72,18 +98,25 @@
 		a, known := before[t.Name]
 		if !known {
 			a = &account{
-				part: 1 / float64(len(b.others)+1),
+				asked: meter.Rate{
+					Window: askedWindow,
+				},
+			}
+			if b.divided {
+				a.part = part(t.Rate, 0, t.Name, b.others)
 			}
 		}
 		a.team = t
-		a.set(now)
+		b.set(a, now)
 		b.accounts[t.Name] = a
 	}
 }
 
 // set gives the bucket the account's part of the rate.
-func (a *account) set(now time.Time) {
-	a.bucket.Set(now, a.team.Rate*a.part, max(a.team.Burst*a.part, smallestBurst))
+func (b *Book) set(a *account, now time.Time) {
+	more := 1 + spent*b.Overshoot
+	single := spent * b.Slack / float64(len(b.others)+1)
+	a.bucket.Set(now, more*a.team.Rate*a.part, max(more*a.team.Burst*a.part+single, smallestBurst))
 }
 
 // Take takes a token of the team's rate. Without one it reports false and how
@@ -130,32 +163,53 @@
 // leastAsked is the rate below which a report leaves a team out.
 const leastAsked = 0.05
 
-// Divide takes the last reports of all other hosts, one each; a host that is not
-// heard any more is reported with its last, and one that is not known to be gone
-// and was never heard with nil.
-func (b *Book) Divide(others []Asked) {
+// Parts returns this host's parts of the rates.
+func (b *Book) Parts() Parts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	parts := make(Parts, len(b.accounts))
+	for name, a := range b.accounts {
+		if a.team.Rate > 0 {
+			parts[name] = a.part
+		}
+	}
+	return parts
+}
+
+// Divide takes the last reports of all other hosts that may be there, one each. One
+// that was never heard reports nothing.
+func (b *Book) Divide(others []Report) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.others = others
+	b.others, b.divided = others, true
 	now := b.now()
 	for name, a := range b.accounts {
 		a.part = part(a.team.Rate, a.asked.At(now), name, others)
-		a.set(now)
+		b.set(a, now)
 	}
 }
 
 // part is this host's part of a team's rate.
-func part(rate, own float64, name string, others []Asked) float64 {
+func part(rate, own float64, name string, others []Report) float64 {
 	if rate <= 0 {
 		return 1
 	}
-	even := floor * rate / float64(len(others)+1)
+	hosts := float64(len(others) + 1)
+	even := floor * rate / hosts
 	mine := own + even
-	all := mine
-	for _, asked := range others {
-		all += asked[name] + even
+	all, free := mine, 1.0
+	for _, r := range others {
+		kept, isKnown := r.Parts[name]
+		switch {
+		case r.Live:
+			all += r.Asked[name] + even
+		case isKnown:
+			free -= kept
+		default:
+			free -= 1 / hosts
+		}
 	}
-	return mine / all
+	return max(0, free) * mine / all
 }
 
 func (b *Book) now() time.Time {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -71,6 +71,8 @@
 	Known map[string]objectstore.Version `json:"known,omitempty"`
 	// Asked is what the host is asked for by each team.
 	Asked quota.Asked `json:"asked,omitempty"`
+	// Parts is the host's part of each team's rate.
+	Parts quota.Parts `json:"parts,omitempty"`
 	// Demand is what the host is asked for on each route and may be served
 	// anywhere, in requests per second.
 	Demand map[string]float64 `json:"demand,omitempty"`
