--- a/intake/call.go
+++ b/intake/call.go
@@ -118,7 +118,7 @@
 // readBody reads the request, as far as it is kept in memory.
 func (c *call) readBody() error {
 	limit := c.index.Limits.BodyBytes
-	if limit > 0 && c.r.Body != nil {
+	if limit > 0 && c.r.Body != nil && c.r.Body != http.NoBody {
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limit)
 	}
 	c.request = exchange.FromHTTP(c.r, c.r.Header.Get(c.handler.Dialect.Request))
