One host a region reads the store, the others follow it

Ruled out: stale reads (seconds behind: evacuations and drains would come late). Change: roster.Reader names the host of a region that reads a prefix; a follower's changes can be watched like the store's (Follower.Since); a reader that is lost, stale or behind is passed by; changes gather 150 ms.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net/url"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,21 +21,37 @@
 
 // follow makes the followers of all that this host takes from the store.
 func (h *host) follow() {
-	h.followers = map[string]*objectstore.Follower{
-		platform.ConfigurationPrefix: h.follower(platform.ConfigurationPrefix, h.takeConfiguration),
-		platform.ServerPrefix:        h.follower(platform.ServerPrefix, h.takeServers),
-		platform.EvacuationPrefix:    h.follower(platform.EvacuationPrefix, h.takeEvacuations),
-		hostPrefix:                   h.follower(hostPrefix, h.takeHosts),
-	}
+	h.followers = make(map[string]*objectstore.Follower)
+	h.sources = make(map[string]*source)
+	h.addFollower(platform.ConfigurationPrefix, h.takeConfiguration, askPeriod)
+	h.addFollower(platform.ServerPrefix, h.takeServers, askPeriod)
+	h.addFollower(platform.EvacuationPrefix, h.takeEvacuations, askPeriod)
+	h.addFollower(hostPrefix, h.takeHosts, hostsPeriod)
 }
 
-// follower follows a prefix of the store, logs when that stops and works again, and
-// tells the other hosts of each change.
-func (h *host) follower(prefix string, changed func(map[string]objectstore.Object)) *objectstore.Follower {
-	return &objectstore.Follower{
-		Source: h.store,
+// askPeriod is how often some host asks the store anew for what a prefix holds: a
+// watch may have fallen silent. The others learn of it by beats. Hosts are mostly
+// found by beats.
+const (
+	askPeriod   = 1200 * time.Millisecond
+	hostsPeriod = 8 * time.Second
+)
+
+// followRest is how long changes gather between two calls that tell some.
+const followRest = 150 * time.Millisecond
+
+// addFollower follows a prefix, logs when that stops and works again, and tells the
+// other hosts of each change.
+func (h *host) addFollower(prefix string, changed func(map[string]objectstore.Object), period time.Duration) {
+	h.sources[prefix] = &source{
+		host:   h,
+		prefix: prefix,
+	}
+	h.followers[prefix] = &objectstore.Follower{
+		Source: h.sources[prefix],
 		Prefix: prefix,
-		Wait:   h.watchWait,
+		Wait:   func() time.Duration { return h.watchWait(period) },
+		Rest:   followRest,
 		Changed: func(objects map[string]objectstore.Object) {
 			changed(objects)
 			h.peers.now()
@@ -48,13 +65,10 @@
 	}
 }
 
-// askPeriod is how often some host asks the store anew for what each prefix holds:
-// a watch may have fallen silent. The others learn of it by beats.
-const askPeriod = time.Second
-
-// watchWait is how long a watch waits. The hosts take turns at asking anew.
-func (h *host) watchWait() time.Duration {
-	turn := min(time.Duration(h.hostCount())*askPeriod, objectstore.DefaultWatchWait)
+// watchWait is how long a watch waits. The hosts that read the store, one a region,
+// take turns at asking anew.
+func (h *host) watchWait(period time.Duration) time.Duration {
+	turn := min(time.Duration(len(h.regionHosts()))*period, objectstore.DefaultWatchWait)
 	// Between a half and one and a half turns, so that hosts do not ask together.
 	return turn/2 + rand.N(turn)
 }
@@ -68,13 +82,16 @@
 		}
 		switch follower.CatchUp(changed) {
 		case objectstore.AskOther:
-			copied, err := h.peers.copy(ctx, theirs.Peers, prefix)
+			copied, err := h.peers.copy(ctx, theirs.Peers, url.Values{
+				"prefix": {prefix},
+			}, 0)
 			if err != nil {
 				h.log.Write(observe.BeatUnsent, zap.String("to", theirs.Peers.String()), zap.Error(err))
 				continue
 			}
 			follower.Offer(copied)
 		case objectstore.AskStore:
+			h.sources[prefix].goDirect()
 			follower.Refresh()
 		case objectstore.UpToDate, objectstore.Asking:
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -41,7 +41,9 @@
 	handler  *intake.Handler
 	// followers follow the store, by prefix.
 	followers map[string]*objectstore.Follower
-	peers     peers
+	// sources are where they follow, by prefix.
+	sources map[string]*source
+	peers   peers
 
 	leaving atomic.Bool
 	// knowsPool and knowsHosts tell that the backend servers and the other hosts
@@ -108,6 +110,7 @@
 		Log:      log,
 	}
 	h.peers.host = h
+	h.peers.client.Transport = newPeerTransport()
 	h.peers.kick = make(chan struct{}, 1)
 	h.follow()
 	return h
@@ -184,5 +187,3 @@
 	}
 	return hosts
 }
-
-var _ objectstore.Source = (*platform.Objects)(nil)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,9 +24,6 @@
 // beatPath is where hosts take beats of each other.
 const beatPath = "/trefoilline/beat"
 
-// copyPath is where hosts give others a copy of what they know of the store.
-const copyPath = "/trefoilline/copy"
-
 // maxBeat bounds a beat, in bytes.
 const maxBeat = 1 << 20
 
@@ -75,80 +71,8 @@
 	go p.host.catchUp(context.WithoutCancel(r.Context()), b)
 }
 
-// give gives a copy of what this host knows of a prefix.
-func (p *peers) give(w http.ResponseWriter, r *http.Request) {
-	follower, isFollowed := p.host.followers[r.URL.Query().Get("prefix")]
-	if !isFollowed {
-		http.Error(w, http.StatusText(http.StatusNotFound), http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(follower.Copy()); err != nil {
-		p.host.log.Write(observe.BeatUnsent, zap.String("to", r.RemoteAddr), zap.Error(err))
-	}
-}
-
-// copyTimeout bounds the fetching of a copy.
-const copyTimeout = 2 * time.Second
-
-// copy gets another host's copy of a prefix.
-func (p *peers) copy(ctx context.Context, address netip.AddrPort, prefix string) (objectstore.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
-	query := url.Values{
-		"prefix": {prefix},
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+copyPath+"?"+query.Encode(), nil)
-	if err != nil {
-		return objectstore.Changes{}, &PeerError{
-			Address: address,
-			Cause:   err,
-		}
-	}
-	response, err := p.client.Do(request)
-	if err != nil {
-		return objectstore.Changes{}, &PeerError{
-			Address: address,
-			Cause:   err,
-		}
-	}
-	defer response.Body.Close()
-	var found objectstore.Changes
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxCopy)).Decode(&found); err != nil {
-		return objectstore.Changes{}, &PeerError{
-			Address: address,
-			Cause:   err,
-		}
-	}
-	return found, nil
-}
-
-// maxCopy bounds a copy, in bytes.
-const maxCopy = 16 << 20
-
-// PeerError reports that another host did not answer.
-type PeerError struct {
-	Address netip.AddrPort
-	Cause   error
-}
-
-func (e *PeerError) Error() string {
-	return "entry host " + e.Address.String() + ": " + e.Cause.Error()
-}
-
-func (e *PeerError) Unwrap() error { return e.Cause }
-
 // run sends beats until the context ends.
 func (p *peers) run(ctx context.Context) {
-	dialer := &net.Dialer{
-		Timeout: beatTimeout,
-	}
-	p.client.Transport = &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     idleTimeout,
-	}
 	ticker := time.NewTicker(roster.BeatPeriod)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -163,6 +87,26 @@
 	}
 }
 
+// newPeerTransport returns a transport whose connections are found out soon when
+// they fall silent.
+func newPeerTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: beatTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     time.Second,
+			Interval: time.Second,
+			Count:    2,
+		},
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
 // kickPause is how long a beat that goes out early waits for further news.
 const kickPause = 20 * time.Millisecond
 
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -37,6 +37,9 @@
 	Prefix string
 	// Wait returns how long the next watch waits; [DefaultWatchWait] if nil.
 	Wait func() time.Duration
+	// Rest is how long the follower rests after a watch that told changes, so that
+	// one call tells many.
+	Rest time.Duration
 	// Grace is how long objects are kept that went during an outage;
 	// [DefaultGrace] if zero.
 	Grace time.Duration
@@ -70,6 +73,7 @@
 	pause    time.Duration
 	// wake ends the current call or pause.
 	wake context.CancelFunc
+	log  changeLog
 }
 
 // Run follows until the context ends.
@@ -95,7 +99,21 @@
 		return f.take(call, found, err, f.replace)
 	}
 	seen, err := f.Source.Watch(call, f.Prefix, after, wait)
-	return f.take(call, seen, err, f.apply)
+	err = f.take(call, seen, err, f.apply)
+	if err == nil && len(seen.Objects) > 0 {
+		f.rest(call)
+	}
+	return err
+}
+
+// rest lets changes gather.
+func (f *Follower) rest(call context.Context) {
+	timer := time.NewTimer(f.Rest)
+	defer timer.Stop()
+	select {
+	case <-call.Done():
+	case <-timer.C:
+	}
 }
 
 // take takes the answer of a call. A call that was ended to ask again is no
@@ -175,6 +193,13 @@
 	}
 }
 
+// IsFailing tells whether the store does not answer, or has not yet.
+func (f *Follower) IsFailing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.failing.IsZero() || f.next == 0
+}
+
 // Copy returns all objects and the version up to which they are known.
 func (f *Follower) Copy() Changes {
 	f.mu.Lock()
@@ -182,7 +207,8 @@
 	found := Changes{
 		Next: f.next,
 	}
-	for _, o := range f.objects {
+	for key, o := range f.objects {
+		_, o.Lapsed = f.missing[key]
 		found.Objects = append(found.Objects, o)
 	}
 	return found
@@ -226,7 +252,7 @@
 		o, isListed := listed[key]
 		switch {
 		case !isListed && known.Version <= found.Next:
-			f.remove(key)
+			f.remove(known, false)
 		case isListed && o.Version < known.Version:
 			listed[key] = known
 		}
@@ -238,9 +264,14 @@
 	for key, o := range listed {
 		delete(f.missing, key)
 		f.changed = max(f.changed, o.Version)
+		if o.Lapsed {
+			f.remove(o, true)
+		}
 	}
 	f.next = max(found.Next, f.next, 1)
 	f.relist = false
+	// What a list lacks is not told one by one.
+	f.log.restart(f.next)
 	f.Changed(f.objects)
 }
 
@@ -256,30 +287,44 @@
 		}
 		changed = true
 		if o.Deleted {
-			f.remove(o.Key)
+			f.remove(o, o.Lapsed)
 			continue
 		}
 		f.objects[o.Key] = o
 		delete(f.missing, o.Key)
+		f.log.add(o)
 	}
+	f.log.reach(f.next)
 	if changed {
 		f.Changed(f.objects)
 	}
 }
 
-// remove drops an object that the store lacks, now or after the grace.
-func (f *Follower) remove(key string) {
-	grace := f.grace()
-	if f.returned.IsZero() || f.now().Sub(f.returned) >= grace {
-		delete(f.objects, key)
-		delete(f.missing, key)
+// remove drops an object that the store lacks, now or, if it may have lapsed in an
+// outage, after the grace.
+func (f *Follower) remove(o Object, lapsed bool) {
+	sinceReturn := f.now().Sub(f.returned)
+	left := f.grace()
+	if !lapsed {
+		left -= sinceReturn
+		lapsed = !f.returned.IsZero() && left > 0
+	}
+	f.log.add(Object{
+		Key:     o.Key,
+		Version: o.Version,
+		Deleted: true,
+		Lapsed:  lapsed,
+	})
+	if !lapsed {
+		delete(f.objects, o.Key)
+		delete(f.missing, o.Key)
 		return
 	}
 	if f.missing == nil {
 		f.missing = make(map[string]time.Time)
 	}
-	if _, isMissing := f.missing[key]; !isMissing {
-		f.missing[key] = f.returned.Add(grace)
+	if _, isMissing := f.missing[o.Key]; !isMissing {
+		f.missing[o.Key] = f.now().Add(left)
 	}
 }
 
@@ -311,6 +356,7 @@
 	f.mu.Lock()
 	if f.failing.IsZero() {
 		f.failing = f.now()
+		f.log.wake()
 		if f.Failed != nil {
 			f.Failed(err)
 		}
--- a/objectstore/follower_test.go
+++ b/objectstore/follower_test.go
@@ -335,3 +335,110 @@
 		require.Equal(t, 17, steps[objectstore.Asking])
 	})
 }
+
+// TestAFollowerTellsOthersItsChanges has one follower follow another.
+func TestAFollowerTellsOthersItsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reader := &objectstore.Follower{
+			Source: &script{
+				steps: []step{
+					{
+						snapshot: true,
+						changes:  changes(5, at("a", 2)),
+					},
+					{
+						changes: changes(9, at("b", 8), gone("a", 9)),
+					},
+				},
+			},
+			Changed: func(map[string]objectstore.Object) {},
+		}
+		_, err := reader.Since(t.Context(), 0, 0)
+		var stale *objectstore.StaleError
+		require.ErrorAs(t, err, &stale)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		reader.Run(ctx)
+		seen, err := reader.Since(t.Context(), 5, time.Second)
+		require.NoError(t, err)
+		require.Equal(t, objectstore.Version(9), seen.Next)
+		require.Equal(t, []objectstore.Object{at("b", 8), gone("a", 9)}, seen.Objects)
+		seen, err = reader.Since(t.Context(), 9, time.Second)
+		require.NoError(t, err)
+		require.Empty(t, seen.Objects)
+		_, err = reader.Since(t.Context(), 4, time.Second)
+		var history *objectstore.HistoryGoneError
+		require.ErrorAs(t, err, &history)
+	})
+}
+
+func TestThoseWhoFollowAFollowerLearnThatTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &script{
+			steps: []step{
+				{
+					snapshot: true,
+					changes:  changes(5, at("a", 2)),
+				},
+			},
+		}
+		reader := &objectstore.Follower{
+			Source:  source,
+			Changed: func(map[string]objectstore.Object) {},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			reader.Run(ctx)
+		}()
+		synctest.Wait()
+		told := make(chan error, 1)
+		go func() {
+			_, err := reader.Since(t.Context(), 5, time.Minute)
+			told <- err
+		}()
+		synctest.Wait()
+		source.prepare(step{
+			err: errDown,
+		})
+		reader.Refresh()
+		var stale *objectstore.StaleError
+		require.ErrorAs(t, <-told, &stale)
+		cancel()
+		<-done
+	})
+}
+
+// TestALapsedObjectIsKeptByThoseWhoFollowToo has a follower of a follower that has seen
+// no outage itself.
+func TestALapsedObjectIsKeptByThoseWhoFollowToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lapsed := gone("a", 7)
+		lapsed.Lapsed = true
+		source := &script{
+			steps: []step{
+				{
+					snapshot: true,
+					changes:  changes(5, at("a", 2)),
+				},
+				{
+					changes: changes(8, lapsed),
+				},
+			},
+		}
+		seen := follow(t, objectstore.DefaultGrace-time.Millisecond, source)
+		require.Equal(t, []string{"a"}, seen[len(seen)-1])
+		source.prepare(
+			step{
+				snapshot: true,
+				changes:  changes(5, at("a", 2)),
+			},
+			step{
+				changes: changes(8, lapsed),
+			},
+		)
+		seen = follow(t, 2*objectstore.DefaultGrace, source)
+		require.Empty(t, seen[len(seen)-1])
+	})
+}
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -47,6 +47,9 @@
 	Version Version `json:"version"`
 	// Deleted marks the removal of the key; only watches report it.
 	Deleted bool `json:"deleted,omitempty"`
+	// Lapsed marks a removal during an outage of the store: what the object stands
+	// for may be alive. Only a [Follower] tells it.
+	Lapsed bool `json:"lapsed,omitempty"`
 }
 
 // Condition says when a write may take effect. The zero condition is [Always].
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -231,6 +231,18 @@
 		Cause:  "Calls of the store for these objects work again.",
 		Action: "None.",
 	}
+	ReaderLost = Event{
+		Number: 217,
+		Name:   "reader-lost",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"prefix",
+			"reader",
+			"cause",
+		},
+		Cause:  "The host that reads the store for this one did not answer, or can not reach the store; this host asks the store itself for a while.",
+		Action: "None, unless it lasts: look at that host.",
+	}
 	RecordUnwritten = Event{
 		Number: 216,
 		Name:   "record-unwritten",
@@ -391,6 +403,7 @@
 		StoreLost,
 		StoreRegained,
 		RecordUnwritten,
+		ReaderLost,
 		PeerUnreached,
 		MachinesUnreadable,
 		AllocationUnwritten,
--- a/placement/server.go
+++ b/placement/server.go
@@ -26,8 +26,6 @@
 	ejected time.Time
 	// ill is the recent part of its tries that failed, from 0 to 1.
 	ill float64
-	// slow is its recent work time relative to that of its peers; 0 if not known.
-	slow float64
 	// coldUntil is until when it is cold.
 	coldUntil time.Time
 	// cold is what it may be sent meanwhile.
--- /dev/null
+++ b/roster/reader_test.go
@@ -0,0 +1,41 @@
+package roster_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/roster"
+)
+
+func TestAllHostsOfARegionFindOneReader(t *testing.T) {
+	const hosts = 9
+	readers := make(map[string]struct{})
+	for _, prefix := range []string{"a/", "b/", "c/", "d/", "e/", "f/"} {
+		found := make(map[string]struct{})
+		for self := range hosts {
+			var live []roster.Beat
+			for n := range hosts {
+				b := beat(n, 1, 1)
+				b.Ready = true
+				if n != self {
+					live = append(live, b)
+				}
+			}
+			reader, isOther := roster.Reader(prefix, "accra", record(self, "").Name, live)
+			require.Equal(t, reader.Name != record(self, "").Name, isOther)
+			found[reader.Name] = struct{}{}
+			readers[reader.Name] = struct{}{}
+		}
+		require.Len(t, found, 1, prefix)
+	}
+	require.Greater(t, len(readers), 2, "the work is spread")
+}
+
+func TestAHostReadsItselfWithoutReadyOthersInItsRegion(t *testing.T) {
+	far := beat(1, 1, 1)
+	far.Region = "kumasi"
+	far.Ready = true
+	_, isOther := roster.Reader("a/", "accra", "host-0", []roster.Beat{far, beat(2, 1, 1), beat(3, 1, 1)})
+	require.False(t, isOther)
+}
