--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -38,7 +38,7 @@
 )
 
 // followRest is how long changes gather between two calls that tell some.
-const followRest = 150 * time.Millisecond
+const followRest = 300 * time.Millisecond
 
 // addFollower follows a prefix, logs when that stops and works again, and tells the
 // other hosts of each change.
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -189,6 +189,7 @@
 		Incarnation: h.incarnation,
 		Sequence:    h.peers.sequence.Add(1),
 		Ready:       h.isReady(),
+		Leaving:     h.leaving.Load(),
 		Known:       h.known(),
 		Asked:       h.book.Asked(),
 		Parts:       h.book.Parts(),
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -64,6 +64,8 @@
 	Sequence uint64 `json:"sequence"`
 	// Ready tells that the host takes callers.
 	Ready bool `json:"ready"`
+	// Leaving tells that the host is about to stop.
+	Leaving bool `json:"leaving,omitempty"`
 	// Version is the configuration in force on the host.
 	Version routing.Version `json:"version"`
 	// Known is the version of the last change of the store that the host knows, by
