Wait for changes that are on their way from a reader

Ruled out: hosts that lost their reader (no such event in the log). Change: Follower.CatchUp has a patience; hosts that read the store have none. Its test failed before.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -23,26 +23,27 @@
 func (h *host) follow() {
 	h.followers = make(map[string]*objectstore.Follower)
 	h.sources = make(map[string]*source)
-	h.addFollower(platform.ConfigurationPrefix, h.takeConfiguration, askPeriod)
-	h.addFollower(platform.ServerPrefix, h.takeServers, askPeriod)
-	h.addFollower(platform.EvacuationPrefix, h.takeEvacuations, askPeriod)
-	h.addFollower(hostPrefix, h.takeHosts, hostsPeriod)
+	h.addFollower(platform.ConfigurationPrefix, h.takeConfiguration, askPeriod, 0)
+	h.addFollower(platform.ServerPrefix, h.takeServers, askPeriod, gather)
+	h.addFollower(platform.EvacuationPrefix, h.takeEvacuations, askPeriod, 0)
+	h.addFollower(hostPrefix, h.takeHosts, hostsPeriod, gather)
 }
 
 // askPeriod is how often some host asks the store anew for what a prefix holds: a
 // watch may have fallen silent. The others learn of it by beats. Hosts are mostly
 // found by beats.
 const (
-	askPeriod   = 1200 * time.Millisecond
+	askPeriod   = 1000 * time.Millisecond
 	hostsPeriod = 8 * time.Second
 )
 
-// followRest is how long changes gather between two calls that tell some.
-const followRest = 300 * time.Millisecond
+// gather is how long changes gather between two calls that tell some, of objects
+// that are many.
+const gather = 300 * time.Millisecond
 
 // addFollower follows a prefix, logs when that stops and works again, and tells the
 // other hosts of each change.
-func (h *host) addFollower(prefix string, changed func(map[string]objectstore.Object), period time.Duration) {
+func (h *host) addFollower(prefix string, changed func(map[string]objectstore.Object), period, rest time.Duration) {
 	h.sources[prefix] = &source{
 		host:   h,
 		prefix: prefix,
@@ -51,7 +52,7 @@
 		Source: h.sources[prefix],
 		Prefix: prefix,
 		Wait:   func() time.Duration { return h.watchWait(period) },
-		Rest:   followRest,
+		Rest:   rest,
 		Changed: func(objects map[string]objectstore.Object) {
 			changed(objects)
 			h.peers.now()
@@ -69,8 +70,8 @@
 // take turns at asking anew.
 func (h *host) watchWait(period time.Duration) time.Duration {
 	turn := min(time.Duration(len(h.regionHosts()))*period, objectstore.DefaultWatchWait)
-	// Between a half and one and a half turns, so that hosts do not ask together.
-	return turn/2 + rand.N(turn)
+	// Somewhat less or more than a turn, so that hosts do not ask together.
+	return turn*3/4 + rand.N(turn/2)
 }
 
 // catchUp brings what this host knows up to what another tells that it knows.
@@ -80,7 +81,7 @@
 		if !isFollowed {
 			continue
 		}
-		switch follower.CatchUp(changed) {
+		switch follower.CatchUp(changed, h.sources[prefix].patience()) {
 		case objectstore.AskOther:
 			copied, err := h.peers.copy(ctx, theirs.Peers, url.Values{
 				"prefix": {prefix},
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -67,6 +67,18 @@
 	s.direct = time.Now().Add(directTime)
 }
 
+// relayTime is how long a change may take from the host that reads the store to
+// those that follow it.
+const relayTime = 500 * time.Millisecond
+
+// patience is how long a change that others know may be on its way here.
+func (s *source) patience() time.Duration {
+	if s.isReading() {
+		return 0
+	}
+	return relayTime
+}
+
 func (s *source) isReading() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -63,9 +63,12 @@
 	changed Version
 	// relist tells that the next call lists.
 	relist bool
-	// asked is when something was last done about a change that others know, zero
-	// if none is missing.
-	asked time.Time
+	// awaited is the first change that others know and this one does not, zero if
+	// there is none; patient is until when nothing more is done about it, and
+	// hasAsked tells that the store was asked.
+	awaited  Version
+	patient  time.Time
+	hasAsked bool
 	// failing is when calls began to fail, zero while they work.
 	failing time.Time
 	// returned is when the store was back after an outage.
@@ -164,21 +167,29 @@
 const askTime = 600 * time.Millisecond
 
 // CatchUp tells what to do about a change that another follower knows. It is
-// called often, and lets each call have its time.
-func (f *Follower) CatchUp(changed Version) Step {
+// called often, and lets each call have its time. The patience is how long the
+// change may be on its way here by itself.
+func (f *Follower) CatchUp(changed Version, patience time.Duration) Step {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	if changed <= f.next {
-		f.asked = time.Time{}
+	if f.awaited <= f.next {
+		f.awaited = 0
+	}
+	switch {
+	case changed <= f.next:
 		return UpToDate
+	case f.awaited == 0:
+		f.awaited = changed
+		f.patient = now.Add(patience)
+		f.hasAsked = false
 	}
-	isFirst := f.asked.IsZero()
-	if !isFirst && now.Sub(f.asked) < askTime {
+	if now.Before(f.patient) {
 		return Asking
 	}
-	f.asked = now
-	if isFirst && f.failing.IsZero() && f.next > 0 {
+	f.patient = now.Add(askTime)
+	if !f.hasAsked && f.failing.IsZero() && f.next > 0 {
+		f.hasAsked = true
 		return AskStore
 	}
 	return AskOther
--- a/objectstore/follower_test.go
+++ b/objectstore/follower_test.go
@@ -275,9 +275,9 @@
 			follower.Run(ctx)
 		}()
 		time.Sleep(time.Second)
-		require.Equal(t, objectstore.UpToDate, follower.CatchUp(5))
-		require.Equal(t, objectstore.AskStore, follower.CatchUp(9))
-		require.Equal(t, objectstore.Asking, follower.CatchUp(9))
+		require.Equal(t, objectstore.UpToDate, follower.CatchUp(5, 0))
+		require.Equal(t, objectstore.AskStore, follower.CatchUp(9, 0))
+		require.Equal(t, objectstore.Asking, follower.CatchUp(9, 0))
 		source.prepare(
 			step{
 				err: &objectstore.HistoryGoneError{},
@@ -291,7 +291,7 @@
 		time.Sleep(time.Second)
 		require.Len(t, follower.Copy().Objects, 2)
 		require.Equal(t, objectstore.Version(9), follower.Known())
-		require.Equal(t, objectstore.UpToDate, follower.CatchUp(9))
+		require.Equal(t, objectstore.UpToDate, follower.CatchUp(9, 0))
 		cancel()
 		<-done
 	})
@@ -327,7 +327,7 @@
 		follower.Offer(changes(5, at("a", 2)))
 		steps := make(map[objectstore.Step]int)
 		for range 20 {
-			steps[follower.CatchUp(9)]++
+			steps[follower.CatchUp(9, 0)]++
 			time.Sleep(80 * time.Millisecond)
 		}
 		require.Equal(t, 1, steps[objectstore.AskStore])
@@ -442,3 +442,24 @@
 		require.Empty(t, seen[len(seen)-1])
 	})
 }
+
+// TestAFollowerWaitsForWhatIsOnItsWay answers beats that are faster than the way that
+// changes come by.
+func TestAFollowerWaitsForWhatIsOnItsWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const patience = 500 * time.Millisecond
+		follower := objectstore.Follower{
+			Source:  &script{},
+			Changed: func(map[string]objectstore.Object) {},
+		}
+		follower.Offer(changes(5, at("a", 2)))
+		for version := objectstore.Version(6); version < 40; version++ {
+			require.Equal(t, objectstore.Asking, follower.CatchUp(version, patience))
+			time.Sleep(100 * time.Millisecond)
+			follower.Offer(changes(version, at("a", version)))
+		}
+		require.Equal(t, objectstore.Asking, follower.CatchUp(50, patience))
+		time.Sleep(patience)
+		require.Equal(t, objectstore.AskStore, follower.CatchUp(50, patience))
+	})
+}
