--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -149,8 +149,15 @@
 // lookUp returns the entry addresses for a caller: ready hosts of its region, or
 // all if it has none.
 func (h *host) lookUp(question platform.LookUp) ([]netip.AddrPort, time.Duration) {
+	ready := h.roster.Live()
+	if h.isReady() {
+		ready = append(ready, roster.Beat{
+			Host:  h.record(),
+			Ready: true,
+		})
+	}
 	var near, far []netip.AddrPort
-	add := func(b roster.Beat) {
+	for _, b := range ready {
 		switch {
 		case !b.Ready:
 		case b.Region == question.Region:
@@ -159,10 +166,6 @@
 			far = append(far, b.Entry)
 		}
 	}
-	for _, b := range h.roster.Live() {
-		add(b)
-	}
-	add(h.beat())
 	if len(near) > 0 {
 		return near, h.lookUpValidity()
 	}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -118,30 +118,61 @@
 	}
 }
 
+// Among many hosts, most beats to other regions are brief: one in so many is whole,
+// for each so many hosts.
+const (
+	longestWholePeriod = 4
+	hostsAWholePeriod  = 9
+)
+
+// wholePeriod is how many beats there are to a whole one for hosts of other regions.
+func wholePeriod(hosts int) uint64 {
+	return uint64(min(1+hosts/hostsAWholePeriod, longestWholePeriod))
+}
+
 // sendAll sends one beat to all hosts that none is on its way to.
 func (p *peers) sendAll(ctx context.Context) {
-	body, err := json.Marshal(p.host.beat())
+	beat := p.host.beat()
+	whole, err := json.Marshal(beat)
 	if err != nil {
 		p.host.log.Write(observe.BeatUnsent, zap.Error(err))
 		return
 	}
-	for _, address := range p.addresses() {
-		if p.begin(address) {
-			go p.send(ctx, address, body)
+	brief, err := json.Marshal(beat.InBrief())
+	if err != nil {
+		p.host.log.Write(observe.BeatUnsent, zap.Error(err))
+		return
+	}
+	others := p.others()
+	isWhole := beat.Sequence%wholePeriod(len(others)) == 0
+	for _, other := range others {
+		if !p.begin(other.Peers) {
+			continue
+		}
+		body := brief
+		if other.Region == p.host.settings.Region || isWhole {
+			body = whole
 		}
+		go p.send(ctx, other.Peers, body)
 	}
 }
 
-// addresses returns the hosts to tell. The seeds are told until the store's records
-// are known.
-func (p *peers) addresses() []netip.AddrPort {
-	addresses := p.host.roster.Addresses()
-	if len(addresses) == 0 {
-		addresses = slices.DeleteFunc(slices.Clone(p.host.settings.Seeds), func(a netip.AddrPort) bool {
-			return a == p.host.settings.Peers
-		})
+// others returns the hosts to tell. The seeds are told until the store's records are
+// known.
+func (p *peers) others() []roster.Host {
+	others := p.host.roster.Others()
+	if len(others) > 0 {
+		return others
+	}
+	for _, address := range p.host.settings.Seeds {
+		if address != p.host.settings.Peers {
+			others = append(others, roster.Host{
+				Peers:  address,
+				Region: p.host.settings.Region,
+			})
+		}
 	}
-	return addresses
+	return others
 }
 
 func (p *peers) begin(address netip.AddrPort) bool {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -55,7 +55,7 @@
 const askedWindow = 700 * time.Millisecond
 
 // spent is the part of the allowed overshoot that is used.
-const spent = 0.5
+const spent = 0.3
 
 // smallestBurst lets single requests pass where a host's part is small.
 const smallestBurst = 1
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -71,6 +71,8 @@
 	// Known is the version of the last change of the store that the host knows, by
 	// prefix.
 	Known map[string]objectstore.Version `json:"known,omitempty"`
+	// Brief tells that the rest is left out, and stands as it was last told.
+	Brief bool `json:"brief,omitempty"`
 	// Asked is what the host is asked for by each team.
 	Asked quota.Asked `json:"asked,omitempty"`
 	// Parts is the host's part of each team's rate.
@@ -133,6 +135,9 @@
 	if r.heard == nil {
 		r.heard = make(map[string]heard)
 	}
+	if b.Brief {
+		b.complete(last.beat)
+	}
 	r.heard[b.Name] = heard{
 		beat: b,
 		at:   r.now(),
@@ -140,6 +145,19 @@
 	return true
 }
 
+// InBrief returns the beat without what grows with teams and routes.
+func (b Beat) InBrief() Beat {
+	b.Brief = true
+	b.Asked, b.Parts, b.Demand, b.Works, b.Crowding, b.Away = nil, nil, nil, nil, nil, nil
+	return b
+}
+
+// complete takes what a brief beat leaves out from an earlier one.
+func (b *Beat) complete(earlier Beat) {
+	b.Asked, b.Parts, b.Demand = earlier.Asked, earlier.Parts, earlier.Demand
+	b.Works, b.Crowding, b.Away = earlier.Works, earlier.Crowding, earlier.Away
+}
+
 // Live returns the last beats of the hosts that are there, by name.
 func (r *Roster) Live() []Beat {
 	return r.heardWithin(LiveFor)
@@ -180,21 +198,19 @@
 	return unheard
 }
 
-// Addresses returns where beats go: to all hosts that have a record or were heard.
-func (r *Roster) Addresses() []netip.AddrPort {
+// Others returns the hosts that beats go to: all that have a record or were heard.
+func (r *Roster) Others() []Host {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	addresses := make([]netip.AddrPort, 0, len(r.records))
-	for _, h := range r.records {
-		addresses = append(addresses, h.Peers)
-	}
+	hosts := slices.Clone(r.records)
 	now := r.now()
 	for _, h := range r.heard {
-		if now.Sub(h.at) <= RememberFor && !slices.Contains(addresses, h.beat.Peers) {
-			addresses = append(addresses, h.beat.Peers)
+		isListed := slices.ContainsFunc(hosts, func(o Host) bool { return o.Peers == h.beat.Peers })
+		if now.Sub(h.at) <= RememberFor && !isListed {
+			hosts = append(hosts, h.beat.Host)
 		}
 	}
-	return addresses
+	return hosts
 }
 
 // Met notes how long a beat took there and back.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -74,13 +74,13 @@
 	r.SetRecords([]roster.Host{record(0, "accra"), record(1, "accra"), record(2, "accra")})
 	r.Receive(beat(1, 1, 1))
 	r.Receive(beat(3, 1, 1))
-	require.ElementsMatch(t, []netip.AddrPort{record(1, "").Peers, record(2, "").Peers, record(3, "").Peers}, r.Addresses())
+	require.ElementsMatch(t, []roster.Host{record(1, "accra"), record(2, "accra"), record(3, "accra")}, r.Others())
 	unheard := r.Unheard()
 	require.Len(t, unheard, 1)
 	require.Equal(t, "host-2", unheard[0].Name)
 	now = now.Add(roster.RememberFor + time.Second)
 	require.Len(t, r.Unheard(), 2)
-	require.Len(t, r.Addresses(), 2)
+	require.Len(t, r.Others(), 2)
 }
 
 func TestTheWayIsTheShortestToAnotherRegion(t *testing.T) {
@@ -101,3 +101,26 @@
 	r.Met(record(3, "").Peers, 150*time.Millisecond)
 	require.Equal(t, 110*time.Millisecond, r.RoundTrip("accra"))
 }
+
+func TestABriefBeatKeepsWhatWasToldBefore(t *testing.T) {
+	r := &roster.Roster{
+		Self: "host-0",
+	}
+	whole := beat(1, 1, 1)
+	whole.Asked = map[string]float64{
+		"north": 7,
+	}
+	whole.Crowding = map[string]float64{
+		"catalogue": 0.5,
+	}
+	r.Receive(whole)
+	brief := whole.InBrief()
+	brief.Sequence = 2
+	brief.Ready = true
+	require.Nil(t, brief.Asked)
+	r.Receive(brief)
+	got := r.Live()[0]
+	require.True(t, got.Ready)
+	require.Equal(t, whole.Asked, got.Asked)
+	require.Equal(t, whole.Crowding, got.Crowding)
+}
