Keep each object to one place while servers are full

Ruled out: waiting longer at the entry. Change: one place an object while the mean load of its servers is above 0.6 of their slots.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -21,8 +21,9 @@
 		return leastLoaded(usable, now)
 	}
 	var chosen []*server
+	places := p.placesAmong(usable, now)
 	for _, r := range rank(w.object(), usable) {
-		if len(chosen) == p.places() {
+		if len(chosen) == places {
 			break
 		}
 		if r.server.isCold(now) && !p.mayWarm(r.server, now) {
@@ -33,6 +34,29 @@
 	return chosen
 }
 
+// full is the mean load of servers relative to their slots from which each object
+// keeps to one place.
+const full = 0.6
+
+// placesAmong is how many places an object has among the servers. While they are
+// full, mostly with work on cold objects, a request that moves on to its second
+// place finds it cold too, and takes a slot there for three times as long: then
+// each object keeps to one place, which warms up soonest.
+//
+// It answers the start of a day, a restart of all, and any trouble in which the
+// servers lose what they remember.
+func (p *Pool) placesAmong(servers []*server, now time.Time) int {
+	load, slots := 0.0, 0.0
+	for _, s := range servers {
+		load += s.busyAt(now)
+		slots += float64(s.Slots)
+	}
+	if load > full*slots {
+		return 1
+	}
+	return p.places()
+}
+
 // usable returns the servers that the request may go to.
 func (p *Pool) usable(g *group, w *Want) []*server {
 	return keep(g.servers, func(s *server) bool { return s.isUsable() && w.allows(s) })
--- a/placement/pool_test.go
+++ b/placement/pool_test.go
@@ -357,3 +357,36 @@
 		require.False(t, errors.As(err, new(*placement.NoServerError)))
 	})
 }
+
+// TestAnObjectKeepsToOnePlaceWhileServersAreFull replays servers that told that they
+// are full of work: a second place would be cold, and take three times as long.
+func TestAnObjectKeepsToOnePlaceWhileServersAreFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newPool(map[string]int{"accra": 4})
+		var held []*placement.Reservation
+		for n := range 40 {
+			held = append(held, take(t, pool, want(fmt.Sprint(n%8), 0)))
+			if len(held) == 8 {
+				break
+			}
+		}
+		for _, r := range held {
+			pool.Done(r, placement.Answered{
+				Load: &placement.Load{
+					Running: 4,
+					Waiting: 2,
+					Slots:   4,
+				},
+			})
+		}
+		time.Sleep(2 * time.Second)
+		places := make(map[string]struct{})
+		for range 6 {
+			r, err := pool.Acquire(t.Context(), want("17", 0))
+			if err == nil {
+				places[r.Server.Name] = struct{}{}
+			}
+		}
+		require.Len(t, places, 1)
+	})
+}
