Answer 503 while a host does not know its parts; end evacuations at once after an outage

Ruled out: a lost beat (all hosts were heard), a stale list (the list after the outage lacked the zone). Change: IsDivided; grace only for entries that must be renewed.

--- a/intake/call.go
+++ b/intake/call.go
@@ -155,6 +155,9 @@
 	if c.team == nil {
 		return nil
 	}
+	if !c.handler.Book.IsDivided() {
+		return &StartingError{}
+	}
 	if wait, ok := c.handler.Book.Take(c.team.Name); !ok {
 		return &OverRateError{
 			Team: c.team.Name,
--- a/intake/errors.go
+++ b/intake/errors.go
@@ -7,10 +7,11 @@
 	"trefoilline.example/trefoilline/header"
 )
 
-// StartingError reports that this host knows no configuration yet.
+// StartingError reports that this host does not know yet what it needs: the
+// configuration, and the other hosts with which it shares the teams' rates.
 type StartingError struct{}
 
-func (*StartingError) Error() string { return "this host knows no configuration yet" }
+func (*StartingError) Error() string { return "this host is starting" }
 
 // LeavingError reports that this host stops too soon for the request.
 type LeavingError struct{}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -332,6 +332,21 @@
 	require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
 }
 
+// TestAHostThatDoesNotKnowItsPartSaysThatItStarts answers a restart under load: the
+// team is within its rate, so that a refusal for the rate would be false.
+func TestAHostThatDoesNotKnowItsPartSaysThatItStarts(t *testing.T) {
+	w := newWorld(t, sound)
+	w.handler.Book = &quota.Book{}
+	w.handler.Book.SetTeams(configuration().Teams)
+	r := w.request(http.MethodGet, "/stock/17", "")
+	r.Header.Set(keyHeader, "small-key")
+	response, _ := w.send(r)
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	wait, err := time.ParseDuration(response.Header.Get("Retry-After"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, wait, time.Second)
+}
+
 func TestAnOlderConfigurationNeverComesIntoForce(t *testing.T) {
 	w := newWorld(t, sound)
 	older := configuration()
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -25,6 +25,8 @@
 	h.sources = make(map[string]*source)
 	h.addFollower(platform.ConfigurationPrefix, h.takeConfiguration, askPeriod, 0)
 	h.addFollower(platform.ServerPrefix, h.takeServers, askPeriod, gather)
+	// Servers renew their entries; all other objects stay until they are removed.
+	h.followers[platform.ServerPrefix].Grace = serverGrace
 	h.addFollower(platform.EvacuationPrefix, h.takeEvacuations, askPeriod, 0)
 	h.addFollower(hostPrefix, h.takeHosts, hostsPeriod, gather)
 }
@@ -37,6 +39,10 @@
 	hostsPeriod = 8 * time.Second
 )
 
+// serverGrace is how long a backend server whose entry went during an outage of the
+// store has to renew it.
+const serverGrace = 2 * time.Second
+
 // gather is how long changes gather between two calls that tell some, of objects
 // that are many.
 const gather = 300 * time.Millisecond
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -132,7 +132,7 @@
 
 // isReady tells whether the host takes callers.
 func (h *host) isReady() bool {
-	return h.handler.Configuration() != nil && h.knowsPool.Load() && h.knowsHosts.Load() && !h.leaving.Load()
+	return h.handler.Configuration() != nil && h.knowsPool.Load() && h.book.IsDivided() && !h.leaving.Load()
 }
 
 // record is what the store tells other hosts of this one.
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -8,11 +8,8 @@
 	"time"
 )
 
-// The settings of a follower that are not set.
-const (
-	DefaultWatchWait = 25 * time.Second
-	DefaultGrace     = 2 * time.Second
-)
+// DefaultWatchWait is how long a watch waits unless a follower says otherwise.
+const DefaultWatchWait = 25 * time.Second
 
 // The pause after a call that failed doubles from the first to the last.
 const (
@@ -25,7 +22,8 @@
 // object steps back to an older version.
 //
 // An object that is gone when the store is back after an outage may belong to
-// something alive that could not renew it. It is kept for a grace time.
+// something alive that could not renew it. It is kept for the grace time, if there
+// is one.
 //
 // A watch may fall silent or miss changes without an error. Followers of several
 // hosts make up for each other: tell each what the others know with
@@ -40,8 +38,8 @@
 	// Rest is how long the follower rests after a watch that told changes, so that
 	// one call tells many.
 	Rest time.Duration
-	// Grace is how long objects are kept that went during an outage;
-	// [DefaultGrace] if zero.
+	// Grace is how long objects are kept that went during an outage, where their
+	// writers must renew them; zero drops them at once.
 	Grace time.Duration
 	// Changed is called with all objects by key, after the first list and after
 	// each change. The map must not be kept.
@@ -315,11 +313,12 @@
 // outage, after the grace.
 func (f *Follower) remove(o Object, lapsed bool) {
 	sinceReturn := f.now().Sub(f.returned)
-	left := f.grace()
+	left := f.Grace
 	if !lapsed {
 		left -= sinceReturn
 		lapsed = !f.returned.IsZero() && left > 0
 	}
+	lapsed = lapsed && left > 0
 	f.log.add(Object{
 		Key:     o.Key,
 		Version: o.Version,
@@ -339,13 +338,6 @@
 	}
 }
 
-func (f *Follower) grace() time.Duration {
-	if f.Grace > 0 {
-		return f.Grace
-	}
-	return DefaultGrace
-}
-
 // drop removes the objects whose grace is over.
 func (f *Follower) drop() bool {
 	dropped := false
--- a/objectstore/follower_test.go
+++ b/objectstore/follower_test.go
@@ -28,6 +28,9 @@
 	err      error
 }
 
+// grace is how long the followers here keep what lapsed.
+const grace = 2 * time.Second
+
 var errDown = errors.New("down")
 
 func (s *script) next(ctx context.Context, snapshot bool, wait time.Duration) (objectstore.Changes, error) {
@@ -99,6 +102,7 @@
 	follower := objectstore.Follower{
 		Source: source,
 		Prefix: "servers/",
+		Grace:  grace,
 		Changed: func(objects map[string]objectstore.Object) {
 			seen = append(seen, slices.Sorted(maps.Keys(objects)))
 		},
@@ -210,6 +214,7 @@
 		var dropped time.Duration
 		follower := objectstore.Follower{
 			Source: source,
+			Grace:  grace,
 			Changed: func(objects map[string]objectstore.Object) {
 				_, isKept := objects["dead"]
 				require.Contains(t, objects, "alive")
@@ -221,7 +226,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		follower.Run(ctx)
-		require.InDelta(t, objectstore.DefaultGrace, dropped, float64(500*time.Millisecond))
+		require.InDelta(t, grace, dropped, float64(500*time.Millisecond))
 	})
 }
 
@@ -427,7 +432,7 @@
 				},
 			},
 		}
-		seen := follow(t, objectstore.DefaultGrace-time.Millisecond, source)
+		seen := follow(t, grace-time.Millisecond, source)
 		require.Equal(t, []string{"a"}, seen[len(seen)-1])
 		source.prepare(
 			step{
@@ -438,7 +443,7 @@
 				changes: changes(8, lapsed),
 			},
 		)
-		seen = follow(t, 2*objectstore.DefaultGrace, source)
+		seen = follow(t, 2*grace, source)
 		require.Empty(t, seen[len(seen)-1])
 	})
 }
@@ -463,3 +468,39 @@
 		require.Equal(t, objectstore.AskStore, follower.CatchUp(50, patience))
 	})
 }
+
+// TestWhatNobodyRenewsIsDroppedAtOnce answers an evacuation that was taken back while
+// this host was cut off from the store.
+func TestWhatNobodyRenewsIsDroppedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &script{
+			steps: []step{
+				{
+					snapshot: true,
+					changes:  changes(5, at("zone", 2)),
+				},
+				{
+					err: errDown,
+				},
+				{
+					changes: changes(8, gone("zone", 7)),
+				},
+			},
+		}
+		start := time.Now()
+		var dropped time.Duration
+		follower := objectstore.Follower{
+			Source: source,
+			Changed: func(objects map[string]objectstore.Object) {
+				if len(objects) == 0 {
+					dropped = time.Since(start)
+				}
+			},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		follower.Run(ctx)
+		require.NotZero(t, dropped)
+		require.Less(t, dropped, time.Second)
+	})
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -85,6 +85,8 @@
 	bucket meter.Bucket
 	// part is this host's part of the rate.
 	part float64
+	// begun tells that the bucket has had its first tokens.
+	begun bool
 }
 
 // SetTeams takes the teams of a configuration. A lower rate binds at once.
@@ -117,6 +119,18 @@
 	more := 1 + spent*b.Overshoot
 	single := spent * b.Slack / float64(len(b.others)+1)
 	a.bucket.Set(now, more*a.team.Rate*a.part, max(more*a.team.Burst*a.part+single, smallestBurst))
+	if b.divided && !a.begun {
+		// A start saves no burst, but single requests pass at once.
+		a.begun = true
+		a.bucket.Add(single)
+	}
+}
+
+// IsDivided tells whether this host's parts are known. Until then nothing passes.
+func (b *Book) IsDivided() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.divided
 }
 
 // Take takes a token of the team's rate. Without one it reports false and how
