Keep connections to servers for 7 s; record a try that failed

Failed try: idempotent requests gave up a kept connection without an answer at half of their time and went to another server.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -121,7 +121,7 @@
 	connectTimeout = 500 * time.Millisecond
 	// keptFor is below the time after which backend servers close idle
 	// connections, so that a request does not meet the close.
-	keptFor       = 4 * time.Second
+	keptFor       = 7 * time.Second
 	answerTimeout = 10 * time.Second
 )
 
