Bound the shift of what is served, not of what is asked

Ruled out: look-ups that move callers (the hosts of the region were all live). Change: the step is smaller where the region is crowded; the guess before traffic is kept until there is load.

--- a/placement/homes.go
+++ b/placement/homes.go
@@ -8,7 +8,10 @@
 
 // HomeStep is how much the share of a region's load that is placed elsewhere may
 // change in a second. It bounds how many requests change their region at once.
-const HomeStep = 0.05
+const HomeStep = 0.045
+
+// idle is the crowding of all regions below which nothing is learned from it.
+const idle = 0.05
 
 // When a region is crowded: the mean load of its backend servers relative to their
 // slots, and by how much it must be above that of the other regions.
@@ -57,8 +60,14 @@
 	if !isKnown {
 		return share
 	}
-	line := max(crowded, others(of, region)+lead)
-	step := HomeStep * passed.Seconds()
+	elsewhere := others(of, region)
+	if own < idle && elsewhere < idle {
+		return share
+	}
+	line := max(crowded, elsewhere+lead)
+	// Where requests are turned away, those that are served elsewhere are a larger
+	// part of all that are served.
+	step := HomeStep * passed.Seconds() / max(1, own)
 	switch {
 	case own > line:
 		share += step * min(1, (own-line)/hysteresis)
@@ -124,8 +133,12 @@
 	return sorted
 }
 
-// GuessAway returns a share to begin with, before any load is known: above zero in
-// a region with under half of the mean slots.
+// usualFill is the part of all slots that warm work fills, as far as nothing else is
+// known.
+const usualFill = 0.4
+
+// GuessAway returns a share to begin with, before any load is known: what has no room
+// if all regions have equal load.
 func GuessAway(region string, slots map[string]float64) float64 {
 	all := 0.0
 	for _, n := range slots {
@@ -134,7 +147,8 @@
 	if all == 0 {
 		return 0
 	}
-	return max(0, 1-2*slots[region]*float64(len(slots))/all)
+	load := usualFill * all / float64(len(slots))
+	return max(0, 1-crowded*slots[region]/load)
 }
 
 // workMargin is by how much the mean work for a warm object is above the fast
