--- a/placement/homes.go
+++ b/placement/homes.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// HomeStep is how much the share of a region's load that is placed elsewhere may
-// change in a second. It bounds how many requests change their region at once.
-const HomeStep = 0.045
+// HomeStep is how much the part of a region's served requests that are served
+// elsewhere may change in a second.
+const HomeStep = 0.04
 
 // idle is the crowding of all regions below which nothing is learned from it.
 const idle = 0.05
@@ -65,9 +65,7 @@
 		return share
 	}
 	line := max(crowded, elsewhere+lead)
-	// Where requests are turned away, those that are served elsewhere are a larger
-	// part of all that are served.
-	step := HomeStep * passed.Seconds() / max(1, own)
+	step := HomeStep * passed.Seconds() / amplified(share, own)
 	switch {
 	case own > line:
 		share += step * min(1, (own-line)/hysteresis)
@@ -77,6 +75,16 @@
 	return max(0, min(1, share))
 }
 
+// amplified is by how much more the part of the served requests changes that are
+// served elsewhere than the share of those asked. Where the region is so crowded that
+// one request in so many is served at home, the part is
+// share / (share + (1-share)/crowding); this is its slope.
+func amplified(share, crowding float64) float64 {
+	crowding = max(1, crowding)
+	whole := 1 + share*(crowding-1)
+	return crowding / (whole * whole)
+}
+
 // others is the mean crowding of the other regions.
 func others(of Crowding, region string) float64 {
 	sum, count := 0.0, 0.0
