--- a/internal/host/divide.go
+++ b/internal/host/divide.go
@@ -58,11 +58,16 @@
 	away := make(placement.Away)
 	crowding := h.crowding()
 	for service, slots := range h.pool.Slots() {
-		if _, isKnown := before[service]; !isKnown {
+		_, isKnown := before[service]
+		switch {
+		case crowding[service].IsIdle():
+			// Servers may still be registering.
+			away[service] = placement.GuessAway(h.settings.Region, slots)
+		case !isKnown:
 			away[service] = h.guessAway(service, slots)
-			continue
+		default:
+			away[service] = before.Step(service, h.settings.Region, crowding[service], passed)
 		}
-		away[service] = before.Step(service, h.settings.Region, crowding[service], passed)
 	}
 	h.away.Store(&away)
 	homes := placement.Homes(h.loads(), away, h.roster.RoundTrip(h.settings.Region))
--- a/placement/homes.go
+++ b/placement/homes.go
@@ -61,9 +61,6 @@
 		return share
 	}
 	elsewhere := others(of, region)
-	if own < idle && elsewhere < idle {
-		return share
-	}
 	line := max(crowded, elsewhere+lead)
 	step := HomeStep * passed.Seconds() / amplified(share, own)
 	switch {
@@ -85,6 +82,17 @@
 	return crowding / (whole * whole)
 }
 
+// IsIdle tells whether nothing can be learned from the crowding: there is no load to
+// speak of in any region.
+func (c Crowding) IsIdle() bool {
+	for _, crowding := range c {
+		if crowding >= idle {
+			return false
+		}
+	}
+	return true
+}
+
 // others is the mean crowding of the other regions.
 func others(of Crowding, region string) float64 {
 	sum, count := 0.0, 0.0
