--- /dev/null
+++ b/observe/list.go
@@ -0,0 +1,40 @@
+package observe
+
+// Catalogue returns all events in the order of their numbers.
+func Catalogue() []Event {
+	return []Event{
+		Started,
+		LeavingStarted,
+		Stopped,
+		ServingFailed,
+		TableInForce,
+		TableUnreadable,
+		KeysInForce,
+		KeysUnconfirmed,
+		KeysConfirmed,
+		PlanInForce,
+		PlanUnreadable,
+		ConfigurationInForce,
+		ZonesEvacuated,
+		EntryUnusable,
+		StoreLost,
+		StoreRegained,
+		RecordUnwritten,
+		ReaderLost,
+		PeerUnreached,
+		MachinesUnreadable,
+		AllocationUnwritten,
+		PlanUnwritten,
+		ClaimsSwept,
+		BeatUnsent,
+		BeatUnreadable,
+		PartsSet,
+		RequestRefused,
+		RequestUnknown,
+		AnswerBroken,
+		RequestSuspected,
+		RequestEnded,
+		RequestPassed,
+		InvariantBroken,
+	}
+}
--- a/placement/done.go
+++ b/placement/done.go
@@ -9,7 +9,7 @@
 // [Garbled], [Late], [Failed], [Misdirected] or [Abandoned].
 type Evidence interface{ evidence() }
 
-// Answered: the server answered.
+// Answered says that the server answered.
 type Answered struct {
 	// Took is how long the server worked and the way there and back took.
 	Took time.Duration
@@ -26,25 +26,25 @@
 	Slots   int
 }
 
-// Shed: the server was there and did not run the request.
+// Shed says that the server was there and did not run the request.
 type Shed struct {
 	Load *Load
 }
 
-// Failed: the server was not reached, broke the connection, or did not answer in
-// time.
+// Failed says that the server was not reached, broke the connection, or did not
+// answer in time.
 type Failed struct{}
 
-// Garbled: the server answered, and its answer could not be used.
+// Garbled says that the server answered, and its answer could not be used.
 type Garbled struct{}
 
-// Late: the server did not answer in the time that the request had.
+// Late says that the server did not answer in the time that the request had.
 type Late struct{}
 
-// Misdirected: the server at the address is another one.
+// Misdirected says that the server at the address is another one.
 type Misdirected struct{}
 
-// Abandoned: the request ended for a reason that is not the server's.
+// Abandoned says that the request ended for a reason that is not the server's.
 type Abandoned struct{}
 
 func (Answered) evidence()    {}
