Log an object that can't be used once for each version of it

Cause: reading the change: an entry of another writer was logged again at each change of any server.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -112,7 +112,7 @@
 	}
 	configuration, err := platform.DecodeConfiguration(o)
 	if err != nil {
-		h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
+		h.tellUnusable(o, err)
 		return
 	}
 	h.setConfiguration(configuration)
@@ -128,12 +128,26 @@
 	h.log.Write(observe.ConfigurationInForce, zap.Uint64("version", uint64(configuration.Version)))
 }
 
+// tellUnusable logs an object that can't be used, once for each version of it.
+func (h *host) tellUnusable(o objectstore.Object, err error) {
+	h.unusable.mu.Lock()
+	defer h.unusable.mu.Unlock()
+	if h.unusable.told[o.Key] == o.Version {
+		return
+	}
+	if h.unusable.told == nil {
+		h.unusable.told = make(map[string]objectstore.Version)
+	}
+	h.unusable.told[o.Key] = o.Version
+	h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
+}
+
 func (h *host) takeServers(objects map[string]objectstore.Object) {
 	machines := make([]objectstore.Machine, 0, len(objects))
 	for _, o := range objects {
 		machine, err := platform.DecodeServer(o, h.settings.Zones)
 		if err != nil {
-			h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
+			h.tellUnusable(o, err)
 			continue
 		}
 		machines = append(machines, machine)
@@ -156,7 +170,7 @@
 	for _, o := range objects {
 		var record roster.Host
 		if err := json.Unmarshal(o.Value, &record); err != nil || !record.Peers.IsValid() {
-			h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
+			h.tellUnusable(o, err)
 			continue
 		}
 		records = append(records, record)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -51,12 +51,19 @@
 	knowsPool  atomic.Bool
 	knowsHosts atomic.Bool
 	losses     losses
+	unusable   unusable
 	// away is the share of each service's load that has its places elsewhere.
 	away atomic.Pointer[placement.Away]
 	// told is when the parts were last logged.
 	told time.Time
 }
 
+// unusable is which objects of the store were told to be unusable, at which version.
+type unusable struct {
+	mu   sync.Mutex
+	told map[string]objectstore.Version
+}
+
 // losses are those that this host tells the others of.
 type losses struct {
 	mu     sync.Mutex
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -174,10 +174,10 @@
 		Level:  zapcore.ErrorLevel,
 		Fields: []string{
 			"address",
-			"cause",
+			"error",
 		},
 		Cause:  "A listener of the host stopped, or a connection did not end in time when the host stopped.",
-		Action: "Look at the cause; restart the host if it serves no more.",
+		Action: "Look at the error; restart the host if it serves no more.",
 	}
 	ConfigurationInForce = Event{
 		Number: 211,
@@ -205,7 +205,7 @@
 		Level:  zapcore.WarnLevel,
 		Fields: []string{
 			"key",
-			"cause",
+			"error",
 		},
 		Cause:  "An object of the store could not be read; what it held before, or nothing, is used.",
 		Action: "Find who wrote the object and mend it.",
@@ -216,7 +216,7 @@
 		Level:  zapcore.WarnLevel,
 		Fields: []string{
 			"prefix",
-			"cause",
+			"error",
 		},
 		Cause:  "Calls of the store for these objects began to fail; what is known stays in use.",
 		Action: "If it lasts, look at the store and the way to it.",
@@ -238,7 +238,7 @@
 		Fields: []string{
 			"prefix",
 			"reader",
-			"cause",
+			"error",
 		},
 		Cause:  "The host that reads the store for this one did not answer, or can not reach the store; this host asks the store itself for a while.",
 		Action: "None, unless it lasts: look at that host.",
@@ -248,7 +248,7 @@
 		Name:   "record-unwritten",
 		Level:  zapcore.WarnLevel,
 		Fields: []string{
-			"cause",
+			"error",
 		},
 		Cause:  "The host's record in the store could not be written or removed; it tries again while it runs.",
 		Action: "If it lasts, look at the store and the way to it.",
@@ -259,7 +259,7 @@
 		Level:  zapcore.DebugLevel,
 		Fields: []string{
 			"to",
-			"cause",
+			"error",
 		},
 		Cause:  "Another host did not take a beat in time.",
 		Action: "None; hosts that are lost are named by look-ups no more.",
@@ -283,7 +283,7 @@
 		Level:  zapcore.WarnLevel,
 		Fields: []string{
 			"from",
-			"cause",
+			"error",
 		},
 		Cause:  "Another host sent a beat that can not be read.",
 		Action: "Compare the versions of both hosts.",
@@ -298,10 +298,10 @@
 			"took",
 			"servers",
 			"route",
-			"cause",
+			"error",
 		},
 		Cause:  "This host ended a request without a backend server's answer. Status 429 and 503: it was not run; 502 and 504: it may have run.",
-		Action: "Look at the cause; servers lists those that the request was sent to, in order.",
+		Action: "Look at the error; servers lists those that the request was sent to, in order.",
 	}
 	RequestPassed = Event{
 		Number: 406,
--- a/observe/event.go
+++ b/observe/event.go
@@ -26,7 +26,7 @@
 	Logger *zap.Logger
 }
 
-// Write logs an event. An error goes into the field "cause".
+// Write logs an event. An error goes into the field "error".
 func (l Log) Write(event Event, fields ...zap.Field) {
 	if l.Logger == nil {
 		return
