Wait until a frozen host stands still before its request is sent

Cause: TestFrozenHostServesNoWithdrawnKey sent its request right after SIGSTOP. The signal reaches the threads of a process one by one, and beside load one of them still answered, before the key was withdrawn at all. Ruled out: a view of the keys that counts as fresh after the pause. Ages are counted from the start of each call and from the echo of the host's own stamp (fleet), and the key is checked again after the wait (entry/forward.go). Change: the test waits until the kernel reports the stop to the parent (waitid, WSTOPPED), which it does once all threads stand still. Nothing that it requires changed.

--- a/scenario/keys_test.go
+++ b/scenario/keys_test.go
@@ -20,7 +20,7 @@
 	w := newWorld(t, 4)
 	key, hash := w.issueKey("bright-start")
 	frozen := w.hosts[1]
-	frozen.signal(t, syscall.SIGSTOP)
+	frozen.freeze(t)
 	results := make(chan caller.Result, 1)
 	go func() { results <- w.ask(frozen, key, http.MethodGet, "/stock") }()
 	w.operate("key", "withdraw", hash)
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -21,6 +21,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	trefoillinev1 "trefoilline.example/trefoilline/api/trefoilline/v1"
 	"trefoilline.example/trefoilline/api/trefoilline/v1/trefoillinev1connect"
@@ -282,6 +283,14 @@
 	require.NoError(t, m.command.Process.Signal(s))
 }
 
+// freeze stops a process and returns once none of its threads runs: the kernel
+// tells the parent of a stop only then, and until then a thread may still answer.
+func (m *machine) freeze(t *testing.T) {
+	m.signal(t, syscall.SIGSTOP)
+	var stopped unix.Siginfo
+	require.NoError(t, unix.Waitid(unix.P_PID, m.command.Process.Pid, &stopped, unix.WSTOPPED, nil))
+}
+
 // kill ends a process at once, as a lost host does.
 func (m *machine) kill(t *testing.T) {
 	require.NoError(t, m.command.Process.Kill())
