Read the settings again when they change

Cause: the platform changes the settings file while a process runs, with SIGHUP or without a signal; a host read it at its start only. A store that moved, other bounds or another log level needed a restart. Ruled out: watching the file (inotify is not there); all settings at once (the name, place and own addresses are what other hosts and callers know a host by: they stay, and the log says that a restart is needed). Change: host.SettingsFile reads and follows the file, each two seconds and at SIGHUP; a faulty or torn file is logged once with all faults and changes nothing. Events 104 and 105. host.Run is host.Process now.

--- a/intake/budget.go
+++ b/intake/budget.go
@@ -28,6 +28,14 @@
 // count each other late.
 const safety = 0.7
 
+// SetBounds changes how many sends beyond the first there may be.
+func (b *Budget) SetBounds(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Ratio = ratio
+	b.Slack = slack
+}
+
 // First notes a request.
 func (b *Budget) First(service string) {
 	if b == nil {
--- a/internal/daemon/command_serve.go
+++ b/internal/daemon/command_serve.go
@@ -6,6 +6,7 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"trefoilline.example/trefoilline/internal/host"
@@ -26,26 +27,42 @@
 	}
 	path := command.Flags().String("settings", "", "path of the settings file")
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		settings, err := host.ReadSettings(*path)
-		if err != nil {
-			return err
-		}
-		// The settings were checked.
-		level, _ := zapcore.ParseLevel(settings.LogLevel)
-		log, err := newLog(Settings{
-			Host:      settings.Host,
-			LogLevel:  level,
-			LogFormat: logFormatJSON,
+		ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, os.Interrupt)
+		defer stop()
+		hurry := make(chan os.Signal, 1)
+		signal.Notify(hurry, syscall.SIGHUP)
+		defer signal.Stop(hurry)
+		process, err := newProcess(&host.SettingsFile{
+			Path:  *path,
+			Hurry: hurry,
 		})
 		if err != nil {
 			return err
 		}
-		// SIGHUP says that the settings file has changed; what stands in it is
-		// needed at the start only.
-		signal.Ignore(syscall.SIGHUP)
-		ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, os.Interrupt)
-		defer stop()
-		return host.Run(ctx, settings, log)
+		return process.Run(ctx)
 	}
 	return command
 }
+
+// newProcess returns the process of a host with the settings and log that its file
+// names.
+func newProcess(file *host.SettingsFile) (host.Process, error) {
+	settings, err := file.Read()
+	if err != nil {
+		return host.Process{}, err
+	}
+	// The settings were checked.
+	text, _ := zapcore.ParseLevel(settings.LogLevel)
+	level := zap.NewAtomicLevelAt(text)
+	log, err := newLog(settings.Host, logFormatJSON, level)
+	if err != nil {
+		return host.Process{}, err
+	}
+	file.Log = log
+	return host.Process{
+		Settings: settings,
+		File:     file,
+		Log:      log,
+		Level:    &level,
+	}, nil
+}
--- a/internal/daemon/log.go
+++ b/internal/daemon/log.go
@@ -8,10 +8,10 @@
 )
 
 // newLog returns a log to the standard error output.
-func newLog(settings Settings) (observe.Log, error) {
+func newLog(host, format string, level zap.AtomicLevel) (observe.Log, error) {
 	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(settings.LogLevel)
-	config.Encoding = settings.LogFormat
+	config.Level = level
+	config.Encoding = format
 	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	config.DisableStacktrace = true
 	config.DisableCaller = true
@@ -22,6 +22,6 @@
 		}
 	}
 	return observe.Log{
-		Logger: logger.With(zap.String("host", settings.Host)),
+		Logger: logger.With(zap.String("host", host)),
 	}, nil
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -28,7 +28,7 @@
 // Run serves until the context ends, then leaves the fleet and returns when the
 // last request is done.
 func Run(ctx context.Context, settings Settings) error {
-	log, err := newLog(settings)
+	log, err := newLog(settings.Host, settings.LogFormat, zap.NewAtomicLevelAt(settings.LogLevel))
 	if err != nil {
 		return err
 	}
--- a/internal/host/divide.go
+++ b/internal/host/divide.go
@@ -62,15 +62,15 @@
 		switch {
 		case crowding[service].IsIdle():
 			// Servers may still be registering.
-			away[service] = placement.GuessAway(h.settings.Region, slots)
+			away[service] = placement.GuessAway(h.settings().Region, slots)
 		case !isKnown:
 			away[service] = h.guessAway(service, slots)
 		default:
-			away[service] = before.Step(service, h.settings.Region, crowding[service], passed)
+			away[service] = before.Step(service, h.settings().Region, crowding[service], passed)
 		}
 	}
 	h.away.Store(&away)
-	homes := placement.Homes(h.loads(), away, h.roster.RoundTrip(h.settings.Region))
+	homes := placement.Homes(h.loads(), away, h.roster.RoundTrip(h.settings().Region))
 	h.pool.SetHomes(homes)
 	h.tellParts(homes, crowding)
 }
@@ -87,11 +87,11 @@
 // region, if one is there.
 func (h *host) guessAway(service string, slots map[string]float64) float64 {
 	for _, b := range h.roster.Live() {
-		if share, isSet := b.Away[service]; isSet && b.Region == h.settings.Region {
+		if share, isSet := b.Away[service]; isSet && b.Region == h.settings().Region {
 			return share
 		}
 	}
-	return placement.GuessAway(h.settings.Region, slots)
+	return placement.GuessAway(h.settings().Region, slots)
 }
 
 // crowding returns how crowded each service is in each region: the mean of what its
@@ -109,7 +109,7 @@
 			counts[service][region]++
 		}
 	}
-	add(h.settings.Region, h.pool.Crowding())
+	add(h.settings().Region, h.pool.Crowding())
 	for _, b := range h.roster.Live() {
 		add(b.Region, b.Crowding)
 	}
@@ -126,7 +126,7 @@
 func (h *host) loads() []placement.RouteLoad {
 	rates := h.handler.Demand()
 	for _, b := range h.roster.Live() {
-		if b.Region == h.settings.Region {
+		if b.Region == h.settings().Region {
 			for route, rate := range b.Demand {
 				rates[route] += rate
 			}
--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -145,7 +145,7 @@
 func (h *host) takeServers(objects map[string]objectstore.Object) {
 	machines := make([]objectstore.Machine, 0, len(objects))
 	for _, o := range objects {
-		machine, err := platform.DecodeServer(o, h.settings.Zones)
+		machine, err := platform.DecodeServer(o, h.settings().Zones)
 		if err != nil {
 			h.tellUnusable(o, err)
 			continue
@@ -190,7 +190,7 @@
 		return
 	}
 	for ctx.Err() == nil && !h.leaving.Load() {
-		_, err := h.store.Put(ctx, hostPrefix+h.settings.Host, value, objectstore.Always{})
+		_, err := h.store.Put(ctx, hostPrefix+h.settings().Host, value, objectstore.Always{})
 		if err == nil {
 			return
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,8 +4,16 @@
 
 # Usage
 
-	settings, err := host.ReadSettings(path)
-	err = host.Run(ctx, settings, logger)
+	file := &host.SettingsFile{
+		Path: path,
+	}
+	settings, err := file.Read()
+	process := host.Process{
+		Settings: settings,
+		File:     file,
+		Log:      log,
+	}
+	err = process.Run(ctx)
 */
 package host
 
@@ -15,6 +23,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/intake"
 	"trefoilline.example/trefoilline/objectstore"
@@ -28,9 +38,12 @@
 
 // host is one run of an entry host.
 type host struct {
-	settings    Settings
+	// current is the settings in force.
+	current     atomic.Pointer[Settings]
 	incarnation uint64
 	log         observe.Log
+	// level is from which level on events are logged; it may be nil.
+	level *zap.AtomicLevel
 
 	store    *platform.Objects
 	pool     *placement.Pool
@@ -71,21 +84,18 @@
 }
 
 func newHost(settings Settings, log observe.Log) *host {
-	h := &host{
-		settings:    settings,
+	var h *host
+	h = &host{
 		incarnation: uint64(time.Now().UnixNano()),
 		log:         log,
 		store: &platform.Objects{
-			Base: settings.Store,
+			Address: func() netip.AddrPort { return h.settings().Store },
 		},
 		pool: &placement.Pool{
 			Host:   settings.Host,
 			Region: settings.Region,
 		},
-		book: &quota.Book{
-			Overshoot: settings.QuotaOvershoot,
-			Slack:     settings.QuotaSlack,
-		},
+		book: &quota.Book{},
 		roster: &roster.Roster{
 			Self: settings.Host,
 		},
@@ -109,13 +119,12 @@
 		Client:  h.client,
 		Dialect: platform.Dialect,
 		Budget: &intake.Budget{
-			Ratio: settings.RetryRatio,
-			Slack: settings.RetrySlack,
 			Hosts: h.hostCount,
 		},
 		Suspects: h.suspects,
 		Log:      log,
 	}
+	h.setBounds(settings)
 	h.peers.host = h
 	h.peers.client.Transport = newPeerTransport()
 	h.peers.kick = make(chan struct{}, 1)
@@ -132,6 +141,9 @@
 	answerTimeout = 10 * time.Second
 )
 
+// settings returns the settings in force.
+func (h *host) settings() Settings { return *h.current.Load() }
+
 // hostCount is how many hosts there are, this one among them.
 func (h *host) hostCount() int {
 	return len(h.roster.Remembered()) + len(h.roster.Unheard()) + 1
@@ -145,11 +157,11 @@
 // record is what the store tells other hosts of this one.
 func (h *host) record() roster.Host {
 	return roster.Host{
-		Name:   h.settings.Host,
-		Region: h.settings.Region,
-		Zone:   h.settings.Zone,
-		Entry:  h.settings.Entry,
-		Peers:  h.settings.Peers,
+		Name:   h.settings().Host,
+		Region: h.settings().Region,
+		Zone:   h.settings().Zone,
+		Entry:  h.settings().Entry,
+		Peers:  h.settings().Peers,
 	}
 }
 
@@ -184,13 +196,13 @@
 const lookUpPart = 0.4
 
 func (h *host) lookUpValidity() time.Duration {
-	return time.Duration(lookUpPart * h.settings.LookUpSeconds * float64(time.Second))
+	return time.Duration(lookUpPart * h.settings().LookUpSeconds * float64(time.Second))
 }
 
 // regionHosts returns the live hosts of each region.
 func (h *host) regionHosts() map[string][]string {
 	hosts := map[string][]string{
-		h.settings.Region: {h.settings.Host},
+		h.settings().Region: {h.settings().Host},
 	}
 	for _, b := range h.roster.Live() {
 		hosts[b.Region] = append(hosts[b.Region], b.Name)
--- a/internal/host/leave.go
+++ b/internal/host/leave.go
@@ -21,12 +21,12 @@
 	begun := time.Now()
 	h.log.Write(observe.LeavingStarted, zap.Int("running", h.handler.Running()))
 	h.leaving.Store(true)
-	h.handler.Leave(h.settings.grace())
+	h.handler.Leave(h.settings().grace())
 	h.peers.now()
-	end := begun.Add(h.settings.grace() - leaveMargin)
+	end := begun.Add(h.settings().grace() - leaveMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := h.store.Delete(ctx, hostPrefix+h.settings.Host, objectstore.Always{}); err != nil {
+	if err := h.store.Delete(ctx, hostPrefix+h.settings().Host, objectstore.Always{}); err != nil {
 		h.log.Write(observe.RecordUnwritten, zap.Error(err))
 	}
 	<-ctx.Done()
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -150,7 +150,7 @@
 			continue
 		}
 		body := brief
-		if other.Region == p.host.settings.Region || isWhole {
+		if other.Region == p.host.settings().Region || isWhole {
 			body = whole
 		}
 		go p.send(ctx, other.Peers, body)
@@ -164,11 +164,11 @@
 	if len(others) > 0 {
 		return others
 	}
-	for _, address := range p.host.settings.Seeds {
-		if address != p.host.settings.Peers {
+	for _, address := range p.host.settings().Seeds {
+		if address != p.host.settings().Peers {
 			others = append(others, roster.Host{
 				Peers:  address,
-				Region: p.host.settings.Region,
+				Region: p.host.settings().Region,
 			})
 		}
 	}
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -50,9 +50,9 @@
 
 // reader returns the host to follow, false if this host asks the store itself.
 func (s *source) reader() (netip.AddrPort, bool) {
-	self := s.host.settings.Host
+	self := s.host.settings().Host
 	peers := s.host.roster.Live()
-	reader, isOther := roster.Reader(s.prefix, s.host.settings.Region, self, peers)
+	reader, isOther := roster.Reader(s.prefix, s.host.settings().Region, self, peers)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	follows := isOther && time.Now().After(s.direct)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -32,9 +32,22 @@
 
 func (e *ListenError) Unwrap() error { return e.Cause }
 
+// Process is a host's process.
+type Process struct {
+	Settings Settings
+	// File is where the settings change while the process runs; nil if they do not.
+	File *SettingsFile
+	Log  observe.Log
+	// Level is from which level on the log writes; it follows the settings. It may be
+	// nil.
+	Level *zap.AtomicLevel
+}
+
 // Run serves until the context ends, then lets requests end and returns.
-func Run(ctx context.Context, settings Settings, log observe.Log) error {
+func (p Process) Run(ctx context.Context) error {
+	settings, log := p.Settings, p.Log
 	h := newHost(settings, log)
+	h.level = p.Level
 	servers, err := h.listen()
 	if err != nil {
 		return err
@@ -43,6 +56,9 @@
 	defer stop()
 	var loops sync.WaitGroup
 	h.startLoops(background, &loops)
+	if p.File != nil {
+		loops.Go(func() { p.File.Follow(background, h.adopt) })
+	}
 	log.Write(observe.Started, zap.String("host", settings.Host), zap.Uint64("incarnation", h.incarnation),
 		zap.String("address", settings.Entry.String()))
 	<-ctx.Done()
@@ -60,19 +76,19 @@
 		handler http.Handler
 	}{
 		{
-			address: h.settings.Entry,
+			address: h.settings().Entry,
 			handler: h.handler,
 		},
 		{
-			address: h.settings.Ready,
+			address: h.settings().Ready,
 			handler: platform.ReadyHandler(h.isReady),
 		},
 		{
-			address: h.settings.LookUps,
+			address: h.settings().LookUps,
 			handler: platform.LookUpHandler(h.lookUp),
 		},
 		{
-			address: h.settings.Peers,
+			address: h.settings().Peers,
 			handler: h.peers.routes(),
 		},
 	} {
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -4,28 +4,33 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
-	"os"
 	"strings"
 	"time"
 
 	"go.uber.org/zap/zapcore"
 )
 
-// Settings are what a host learns from its settings file.
-type Settings struct {
+// Identity is what other hosts and callers know a host by. It stays as long as the
+// process runs.
+type Identity struct {
 	// Host names this entry host; unique among the hosts.
 	Host string `json:"host"`
 	// Region and Zone say where the host runs.
 	Region string `json:"region"`
 	Zone   string `json:"zone"`
-	// Zones holds the region of each availability zone.
-	Zones map[string]string `json:"zones"`
 	// Entry is the address for callers, Ready that for the platform's checks,
 	// LookUps that for callers' look-ups, Peers that for other hosts.
 	Entry   netip.AddrPort `json:"entry"`
 	Ready   netip.AddrPort `json:"ready"`
 	LookUps netip.AddrPort `json:"look-ups"`
 	Peers   netip.AddrPort `json:"peers"`
+}
+
+// Settings are what a host learns from its settings file.
+type Settings struct {
+	Identity
+	// Zones holds the region of each availability zone.
+	Zones map[string]string `json:"zones"`
 	// Seeds are the addresses for other hosts of a few hosts.
 	Seeds []netip.AddrPort `json:"seeds"`
 	// Store is the address of the platform's store.
@@ -68,16 +73,9 @@
 
 func (e *SettingsError) Unwrap() error { return e.Cause }
 
-// ReadSettings reads a settings file, and returns a [SettingsError] with all its
+// parse returns the settings that a file holds, or a [SettingsError] with all its
 // faults.
-func ReadSettings(path string) (Settings, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, &SettingsError{
-			Path:  path,
-			Cause: err,
-		}
-	}
+func parse(path string, content []byte) (Settings, error) {
 	var s Settings
 	if err := json.Unmarshal(content, &s); err != nil {
 		return Settings{}, &SettingsError{
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -18,7 +18,10 @@
 func read(t *testing.T, text string) (host.Settings, error) {
 	path := filepath.Join(t.TempDir(), "settings.json")
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-	return host.ReadSettings(path)
+	file := &host.SettingsFile{
+		Path: path,
+	}
+	return file.Read()
 }
 
 func TestSettingsAreRead(t *testing.T) {
@@ -39,6 +42,9 @@
 		require.ErrorAs(t, err, &wrong, text)
 		require.Error(t, wrong.Cause)
 	}
-	_, err = host.ReadSettings(filepath.Join(t.TempDir(), "none"))
+	missing := &host.SettingsFile{
+		Path: filepath.Join(t.TempDir(), "none"),
+	}
+	_, err = missing.Read()
 	require.ErrorIs(t, err, os.ErrNotExist)
 }
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -199,6 +199,26 @@
 		Cause:  "The operators changed which zones get nothing.",
 		Action: "None.",
 	}
+	SettingsInForce = Event{
+		Number: 104,
+		Name:   "settings-in-force",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"needs-restart",
+		},
+		Cause:  "The settings file changed while the host ran, and what may change is in force.",
+		Action: "If needs-restart is true, the host's name, place or an address changed too: restart it when it suits.",
+	}
+	SettingsUnusable = Event{
+		Number: 105,
+		Name:   "settings-unusable",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"error",
+		},
+		Cause:  "The settings file changed while the host ran, and can't be used; what was in force stands.",
+		Action: "Mend the faults that are named; the file is read again by itself.",
+	}
 	EntryUnusable = Event{
 		Number: 213,
 		Name:   "entry-unusable",
--- a/observe/list.go
+++ b/observe/list.go
@@ -7,6 +7,8 @@
 		LeavingStarted,
 		Stopped,
 		ServingFailed,
+		SettingsInForce,
+		SettingsUnusable,
 		TableInForce,
 		TableUnreadable,
 		KeysInForce,
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -89,6 +89,14 @@
 	begun bool
 }
 
+// SetBounds changes by how much teams may go beyond their rates.
+func (b *Book) SetBounds(overshoot, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Overshoot = overshoot
+	b.Slack = slack
+}
+
 // SetTeams takes the teams of a configuration. A lower rate binds at once.
 func (b *Book) SetTeams(teams []routing.Team) {
 	b.mu.Lock()
