Keep the first connection to a backend server too

Ruled out: trusting unnamed answers. One counts only on a connection that carried nothing before. Figures: requests to one server open 1 connection, not 2 (TestConnectionsAreKeptFromTheFirstAnswerOn).

--- a/exchange/answer.go
+++ b/exchange/answer.go
@@ -66,10 +66,11 @@
 
 // misdirected returns an error if the answer names another request. An answer
 // without a name counts as another's if the backend server is known to echo
-// names, or is an entry host.
+// names, or the connection carried something before, or it leads to an entry host.
 func (t *try) misdirected(response *http.Response) error {
 	echoed := response.Header.Get(t.client.dialect().Request)
-	if echoed == t.request.Name || echoed == "" && !t.echoes && !t.request.ToHost {
+	mayBeUnnamed := !t.echoes && !t.isReused && !t.request.ToHost
+	if echoed == t.request.Name || echoed == "" && mayBeUnnamed {
 		return nil
 	}
 	return &CrossedAnswerError{
--- a/exchange/answer_test.go
+++ b/exchange/answer_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -242,3 +243,45 @@
 		require.Equal(t, exchange.Crossed, outcome.(*exchange.Unknown).Reason)
 	}
 }
+
+// TestConnectionsAreKeptFromTheFirstAnswerOn counts the connections of requests to
+// a server that echoes names: one if that is known of all, two if it must be seen.
+func TestConnectionsAreKeptFromTheFirstAnswerOn(t *testing.T) {
+	for allEcho, expected := range map[bool]int64{
+		true:  1,
+		false: 2,
+	} {
+		var connections atomic.Int64
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(header.Request, r.Header.Get(header.Request))
+		}))
+		server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+			if state == http.StateNew {
+				connections.Add(1)
+			}
+		}
+		server.Start()
+		t.Cleanup(server.Close)
+		client := newClient(t)
+		client.AllEcho = allEcho
+		address := netip.MustParseAddrPort(server.Listener.Addr().String())
+		for range 5 {
+			require.True(t, get(t.Context(), client, address, true))
+		}
+		require.Equal(t, expected, connections.Load(), "all echo: %v", allEcho)
+	}
+}
+
+// TestAnUnnamedAnswerCountsOnlyOnANewConnection has a server that never names its
+// answers, though all are said to.
+func TestAnUnnamedAnswerCountsOnlyOnANewConnection(t *testing.T) {
+	server := start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	client := newClient(t)
+	client.AllEcho = true
+	require.True(t, get(t.Context(), client, server, true))
+	request := newRequest("r2", http.MethodGet, "/", nil)
+	request.Idempotent = true
+	outcome := client.Send(t.Context(), server, request)
+	require.IsType(t, &exchange.Unknown{}, outcome)
+	require.Equal(t, exchange.Crossed, outcome.(*exchange.Unknown).Reason)
+}
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -65,14 +65,18 @@
 	// Unbounded lets answers pass that end with their connection. A connection
 	// that is reset still breaks them.
 	Unbounded bool
+	// AllEcho tells that every backend server echoes names, so that the first
+	// connection to one is kept too. An answer without a name counts only on a
+	// connection that carried nothing before.
+	AllEcho bool
 	// Clock tells the time left until deadlines; [time.Now] if nil.
 	Clock func() time.Time
 	// Violated is told of each broken invariant. It may be nil.
 	Violated func(Violation)
 
 	mu sync.Mutex
-	// pools keeps connections to the backend servers known to echo request
-	// names. Without the echo nothing tells an answer on a kept connection from
+	// pools keeps connections to the backend servers that echo request names.
+	// Without the echo nothing tells an answer on a kept connection from
 	// that to another request.
 	pools map[netip.AddrPort]*pool
 	fresh *http.Transport
@@ -82,6 +86,8 @@
 type pool struct {
 	transport *http.Transport
 	used      time.Time
+	// echoes tells that an answer of the backend server bore a name.
+	echoes bool
 }
 
 // Violation is an invariant that did not hold: a request that may run only once
@@ -110,6 +116,7 @@
 	p, found := c.pools[server]
 	if found {
 		c.pools[server] = c.newPool()
+		c.pools[server].echoes = p.echoes
 	}
 	c.mu.Unlock()
 	if found {
@@ -148,12 +155,16 @@
 func (c *Client) transport(server netip.AddrPort, mayUseKept bool) (*http.Transport, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, echoes := c.pools[server]
-	if echoes {
+	p, isPooled := c.pools[server]
+	if !isPooled && c.AllEcho {
+		p, isPooled = c.addPool(server), true
+	}
+	echoes := isPooled && p.echoes
+	if isPooled {
 		p.used = c.now()
 	}
-	if echoes && mayUseKept {
-		return p.transport, true
+	if isPooled && mayUseKept {
+		return p.transport, echoes
 	}
 	if c.fresh == nil {
 		c.fresh = c.newTransport()
@@ -166,14 +177,22 @@
 func (c *Client) keep(server netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, found := c.pools[server]; found {
-		return
+	p, found := c.pools[server]
+	if !found {
+		p = c.addPool(server)
 	}
+	p.echoes = true
+}
+
+// addPool provides for connections to a backend server.
+func (c *Client) addPool(server netip.AddrPort) *pool {
 	if c.pools == nil {
 		c.pools = make(map[netip.AddrPort]*pool)
 	}
 	c.forgetUnused()
-	c.pools[server] = c.newPool()
+	p := c.newPool()
+	c.pools[server] = p
+	return p
 }
 
 // forgetUnused drops what is kept for backend servers that are gone. Their idle
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -46,7 +46,9 @@
 	request   *Request
 	transport *http.Transport
 	// echoes tells that the backend server is known to echo names.
-	echoes   bool
+	echoes bool
+	// isReused tells that the connection carried something before.
+	isReused bool
 	gate     *gate
 	source   *source
 	outgoing *http.Request
@@ -88,6 +90,7 @@
 		t.cancel(&GateShutError{})
 	}
 	if info.Reused {
+		t.isReused = true
 		t.beginning.enable()
 	}
 }
