Explain a request from the logs; measures on an address; a log that blocks nothing

Cause: the log sampled, one line in a hundred of the same event beyond the first hundred a second: a failed request could be missing. It went to standard error, in the request's own time. How requests ended was counted and shown nowhere. Late answers were logged at level debug only. Ruled out: sampling by request (what failed must be found); a file (machines have no disk). The counters that nothing read are gone.

--- a/intake/finish.go
+++ b/intake/finish.go
@@ -6,9 +6,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
-	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/placement"
 )
 
@@ -37,11 +34,7 @@
 	c.w.WriteHeader(a.status)
 	// A caller that is gone needs no answer.
 	_, _ = c.w.Write(a.body)
-	c.handler.counters.answered.Add(1)
-	c.handler.Log.Write(observe.RequestPassed, zap.String("request", c.r.Header.Get(c.handler.Dialect.Request)),
-		zap.Int("status", a.status), zap.Duration("took", c.handler.now().Sub(c.start)), zap.Duration("waited", c.waited),
-		zap.Strings("servers", c.met), zap.String("region", c.region), zap.String("route", c.routeName()),
-		zap.String("object", c.object()))
+	c.notePassed(a.status)
 }
 
 // closeIfLeaving asks the caller to use another host from now on.
@@ -54,7 +47,7 @@
 // end ends a request without an answer of a backend server.
 func (c *call) end(e *ending) {
 	if c.isOver() {
-		c.handler.counters.left.Add(1)
+		c.noteLeft()
 		return
 	}
 	if !e.mayHaveRun {
@@ -118,15 +111,5 @@
 		c.w.Header().Set("Retry-After", c.handler.Dialect.FormatRetry(wait))
 	}
 	http.Error(c.w, http.StatusText(status), status)
-	c.handler.counters.count(status)
-	c.handler.Log.Write(observe.RequestEnded, zap.String("request", c.r.Header.Get(c.handler.Dialect.Request)),
-		zap.Int("status", status), zap.Duration("took", c.handler.now().Sub(c.start)), zap.Strings("servers", c.met),
-		zap.String("route", c.routeName()), zap.Error(cause))
-}
-
-func (c *call) routeName() string {
-	if c.route == nil {
-		return ""
-	}
-	return c.route.Name
+	c.noteEnded(status, wait, cause)
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -74,12 +74,13 @@
 	// Clock tells the time; [time.Now] if nil.
 	Clock func() time.Time
 	Log   observe.Log
+	// Measures is how requests ended on this host.
+	Measures observe.Measures
 
-	index    atomic.Pointer[routing.Index]
-	splits   splits
-	demand   demand
-	running  atomic.Int64
-	counters Counters
+	index   atomic.Pointer[routing.Index]
+	splits  splits
+	demand  demand
+	running atomic.Int64
 	// lastTake is until when this host takes requests; nil while it stays.
 	lastTake atomic.Pointer[time.Time]
 }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -83,6 +83,7 @@
 		newStatus(),
 		newWatch(),
 		newMeasures(),
+		newExplain(),
 	)
 	return root
 }
--- a/internal/command/errors.go
+++ b/internal/command/errors.go
@@ -39,6 +39,15 @@
 
 func (e *FileError) Unwrap() error { return e.Cause }
 
+// UnknownRequestError reports a request that no log tells of.
+type UnknownRequestError struct {
+	Request string
+}
+
+func (e *UnknownRequestError) Error() string {
+	return fmt.Sprintf("no line of the logs tells of request %q; a request that was passed in time is logged at level debug only", e.Request)
+}
+
 // NoBaseError reports a table that does not say which version it was edited
 // from.
 type NoBaseError struct {
--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -23,7 +23,7 @@
 	ExitInvalid = 3
 	// ExitConflict means that others edited the table meanwhile; nothing changed.
 	ExitConflict = 4
-	// ExitNotFound means that a key, team, version or table does not exist.
+	// ExitNotFound means that a key, team, version, table or request does not exist.
 	ExitNotFound = 5
 	// ExitUnreached means that the store or a host was not reached; nothing
 	// changed.
@@ -45,7 +45,7 @@
 	ExitUsage:      "wrong flags, arguments or settings",
 	ExitInvalid:    "the table has faults; nothing changed",
 	ExitConflict:   "others edited the table meanwhile; nothing changed",
-	ExitNotFound:   "no such key, team, version or table",
+	ExitNotFound:   "no such key, team, version, table or request",
 	ExitUnreached:  "store or host not reached; nothing changed",
 	ExitUnknown:    "may or may not have been done; the message says how to send it again",
 	ExitRefused:    "the store refused the call; nothing changed",
@@ -79,7 +79,7 @@
 		return ExitInvalid
 	case is[*table.ConflictError](err), is[*table.OverlapError](err), is[*table.EditReusedError](err):
 		return ExitConflict
-	case is[*NoSuchKeyError](err), is[*NoTeamError](err), is[*team.NoSuchKeyError](err),
+	case is[*NoSuchKeyError](err), is[*NoTeamError](err), is[*team.NoSuchKeyError](err), is[*UnknownRequestError](err),
 		is[*table.NoTableError](err), is[*table.NoVersionError](err), is[*objectstore.NotFoundError](err):
 		return ExitNotFound
 	case is[*objectstore.UnreachedError](err), is[*HostError](err), errors.Is(err, context.DeadlineExceeded):
--- a/internal/daemon/command_serve.go
+++ b/internal/daemon/command_serve.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"trefoilline.example/trefoilline/internal/host"
+	"trefoilline.example/trefoilline/observe"
 )
 
 // newServe returns the command
@@ -32,37 +33,27 @@
 		hurry := make(chan os.Signal, 1)
 		signal.Notify(hurry, syscall.SIGHUP)
 		defer signal.Stop(hurry)
-		process, err := newProcess(&host.SettingsFile{
+		file := &host.SettingsFile{
 			Path:  *path,
 			Hurry: hurry,
-		})
+		}
+		settings, err := file.Read()
 		if err != nil {
 			return err
 		}
+		out := observe.NewSpool(os.Stdout)
+		defer out.Close()
+		// The settings were checked.
+		text, _ := zapcore.ParseLevel(settings.LogLevel)
+		level := zap.NewAtomicLevelAt(text)
+		file.Log = newLog(out, settings.Host, logFormatJSON, level)
+		process := &host.Process{
+			Settings: settings,
+			File:     file,
+			Log:      file.Log,
+			Level:    &level,
+		}
 		return process.Run(ctx)
 	}
 	return command
 }
-
-// newProcess returns the process of a host with the settings and log that its file
-// names.
-func newProcess(file *host.SettingsFile) (host.Process, error) {
-	settings, err := file.Read()
-	if err != nil {
-		return host.Process{}, err
-	}
-	// The settings were checked.
-	text, _ := zapcore.ParseLevel(settings.LogLevel)
-	level := zap.NewAtomicLevelAt(text)
-	log, err := newLog(settings.Host, logFormatJSON, level)
-	if err != nil {
-		return host.Process{}, err
-	}
-	file.Log = log
-	return host.Process{
-		Settings: settings,
-		File:     file,
-		Log:      log,
-		Level:    &level,
-	}, nil
-}
--- a/internal/daemon/errors.go
+++ b/internal/daemon/errors.go
@@ -50,17 +50,6 @@
 
 func (e *ListenError) Unwrap() error { return e.Cause }
 
-// LogError reports that the log could not be set up.
-type LogError struct {
-	Cause error
-}
-
-func (e *LogError) Error() string {
-	return fmt.Sprintf("cannot set up the log: %v", e.Cause)
-}
-
-func (e *LogError) Unwrap() error { return e.Cause }
-
 func joinChoices(choices []string) string {
 	return strings.Join(choices, " or ")
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -28,10 +29,7 @@
 // Run serves until the context ends, then leaves the fleet and returns when the
 // last request is done.
 func Run(ctx context.Context, settings Settings) error {
-	log, err := newLog(settings.Host, settings.LogFormat, zap.NewAtomicLevelAt(settings.LogLevel))
-	if err != nil {
-		return err
-	}
+	log := newLog(os.Stderr, settings.Host, settings.LogFormat, zap.NewAtomicLevelAt(settings.LogLevel))
 	listener, err := net.Listen("tcp", settings.Listen.String())
 	if err != nil {
 		return &ListenError{
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -44,7 +44,7 @@
 }
 
 // Run serves until the context ends, then lets requests end and returns.
-func (p Process) Run(ctx context.Context) error {
+func (p *Process) Run(ctx context.Context) error {
 	settings, log := p.Settings, p.Log
 	h := newHost(settings, log)
 	h.level = p.Level
@@ -91,7 +91,15 @@
 			address: h.settings().Peers,
 			handler: h.peers.routes(),
 		},
+		{
+			address: h.settings().Metrics,
+			handler: http.HandlerFunc(h.showMeasures),
+		},
 	} {
+		if !s.address.IsValid() {
+			// Measures need not be shown.
+			continue
+		}
 		listener, err := net.Listen("tcp", s.address.String())
 		if err != nil {
 			return nil, &ListenError{
@@ -110,6 +118,12 @@
 	return servers, nil
 }
 
+// showMeasures writes the measures as text, one value a line.
+func (h *host) showMeasures(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	h.handler.Measures.WriteText(w)
+}
+
 func (h *host) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); err != http.ErrServerClosed {
 		h.log.Write(observe.ServingFailed, zap.String("address", listener.Addr().String()), zap.Error(err))
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -24,6 +24,9 @@
 	Ready   netip.AddrPort `json:"ready"`
 	LookUps netip.AddrPort `json:"look-ups"`
 	Peers   netip.AddrPort `json:"peers"`
+	// Metrics is the address at which measures are shown; they are not if it is not
+	// set.
+	Metrics netip.AddrPort `json:"metrics"`
 }
 
 // Settings are what a host learns from its settings file.
@@ -100,6 +103,7 @@
 			faults = append(faults, fmt.Sprintf("%q is missing or wrong; accepted is %s", name, accepted))
 		}
 	}
+	need("metrics", !s.Metrics.IsValid() || s.Metrics.Port() > 0, "an IP address and a port above zero, or nothing")
 	const address = "an IP address and a port above zero"
 	need("host", s.Host != "", "a name")
 	need("region", s.Region != "", "a name")
--- a/observe/list.go
+++ b/observe/list.go
@@ -37,6 +37,9 @@
 		RequestSuspected,
 		RequestEnded,
 		RequestPassed,
+		RequestLate,
+		CallerLeft,
 		InvariantBroken,
+		LinesDropped,
 	}
 }
--- a/observe/measures.go
+++ b/observe/measures.go
@@ -14,7 +14,7 @@
 	// MaxTeams bounds the teams that have measures of their own; the rest share
 	// those of [OtherTeams].
 	MaxTeams = 200
-	// OtherTeams is the name under which further teams are measured.
+	// OtherTeams is the name under which further teams, and routes, are measured.
 	OtherTeams = "other"
 	// OpenTeam is the name under which requests on open routes are measured.
 	OpenTeam = "open"
@@ -31,6 +31,8 @@
 
 	mutex sync.Mutex
 	teams map[string]struct{}
+	// routes are those that have measures of their own.
+	routes map[string]struct{}
 
 	violations atomic.Uint64
 }
@@ -49,17 +51,22 @@
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.teams == nil {
-		m.teams = make(map[string]struct{})
+	return known(&m.teams, team, MaxTeams)
+}
+
+// known returns a name if it is among the first so many, else that of all others.
+func known(names *map[string]struct{}, name string, most int) string {
+	if *names == nil {
+		*names = make(map[string]struct{})
 	}
-	if _, known := m.teams[team]; known {
-		return team
+	if _, isKnown := (*names)[name]; isKnown {
+		return name
 	}
-	if len(m.teams) >= MaxTeams {
+	if len(*names) >= most {
 		return OtherTeams
 	}
-	m.teams[team] = struct{}{}
-	return team
+	(*names)[name] = struct{}{}
+	return name
 }
 
 // Teams returns the names that have measures.
@@ -126,6 +133,29 @@
 	return uint64(metrics.GetOrRegisterCounter(name, m.metrics()).Count())
 }
 
+// MaxRoutes bounds the routes that have measures of their own.
+const MaxRoutes = 200
+
+// Route returns the name under which a route is measured.
+func (m *Measures) Route(route string) string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return known(&m.routes, route, MaxRoutes)
+}
+
+// Passed records an answer of a backend server that went to the caller, by the route
+// and the service that gave it.
+func (m *Measures) Passed(route, service string, latency time.Duration) {
+	name := m.Route(route)
+	m.histogram("route", name).Update(latency.Microseconds())
+	m.Count("passed/" + name + "/" + service)
+}
+
+// WriteText writes all measures as text, sorted by name. Times are in microseconds.
+func (m *Measures) WriteText(w io.Writer) {
+	metrics.WriteOnce(m.metrics(), w)
+}
+
 // WriteJSON writes all measures. Times are in microseconds.
 func (m *Measures) WriteJSON(w io.Writer) {
 	metrics.WriteJSONOnce(m.metrics(), w)
