Let those who follow a reader not rest

Cause: 38 hosts with 501 backend servers made 1,408 calls of the store in 30 s, 816 of them watches of the servers, though three readers that rest 0.3 s make some 380. A host that follows a reader rested too after each change: what it was told came up to 0.6 s late, which is beyond the patience of half a second, and it asked the store itself for five seconds. Ruled out: more patience (a change would be learned later from a reader that fell silent); longer rests. Change: only who reads the store rests; the reader has let changes gather for those who follow.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -58,7 +58,7 @@
 		Source: h.sources[prefix],
 		Prefix: prefix,
 		Wait:   func() time.Duration { return h.watchWait(period) },
-		Rest:   rest,
+		Rest:   func() time.Duration { return h.restOf(prefix, rest) },
 		Changed: func(objects map[string]objectstore.Object) {
 			changed(objects)
 			h.peers.now()
@@ -72,6 +72,15 @@
 	}
 }
 
+// restOf is how long to rest after changes of a prefix. Who follows a reader does not:
+// the reader has let them gather, and what came late here would seem lost.
+func (h *host) restOf(prefix string, rest time.Duration) time.Duration {
+	if h.sources[prefix].isReading() {
+		return rest
+	}
+	return 0
+}
+
 // watchWait is how long a watch waits. The hosts that read the store, one a region,
 // take turns at asking anew.
 func (h *host) watchWait(period time.Duration) time.Duration {
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -35,9 +35,9 @@
 	Prefix string
 	// Wait returns how long the next watch waits; [DefaultWatchWait] if nil.
 	Wait func() time.Duration
-	// Rest is how long the follower rests after a watch that told changes, so that
-	// one call tells many.
-	Rest time.Duration
+	// Rest returns how long the follower rests after a watch that told changes, so
+	// that one call tells many; not at all if nil.
+	Rest func() time.Duration
 	// Grace is how long objects are kept that went during an outage, where their
 	// writers must renew them; zero drops them at once.
 	Grace time.Duration
@@ -109,7 +109,10 @@
 
 // rest lets changes gather.
 func (f *Follower) rest(call context.Context) {
-	timer := time.NewTimer(f.Rest)
+	if f.Rest == nil {
+		return
+	}
+	timer := time.NewTimer(f.Rest())
 	defer timer.Stop()
 	select {
 	case <-call.Done():
