Beats go out early only for what takes something away

Cause: each change of any backend server's entry sent a beat to all hosts at once; with 501 servers some change all the time, and beats went out five times a second, not two. Ruled out: no early beats at all (a silent watch is made up for by beats; a server that leaves binds within 2.5 s). Change: SetServers tells whether the list takes something away (a server left, started again, turned cold); only then, and for configurations, evacuations and hosts, a beat goes at once.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -48,8 +48,8 @@
 const gather = 300 * time.Millisecond
 
 // addFollower follows a prefix, logs when that stops and works again, and tells the
-// other hosts of each change.
-func (h *host) addFollower(prefix string, changed func(map[string]objectstore.Object), period, rest time.Duration) {
+// other hosts at once of changes that are urgent; of all others the next beat tells.
+func (h *host) addFollower(prefix string, changed func(map[string]objectstore.Object) (isUrgent bool), period, rest time.Duration) {
 	h.sources[prefix] = &source{
 		host:   h,
 		prefix: prefix,
@@ -60,8 +60,9 @@
 		Wait:   func() time.Duration { return h.watchWait(period) },
 		Rest:   func() time.Duration { return h.restOf(prefix, rest) },
 		Changed: func(objects map[string]objectstore.Object) {
-			changed(objects)
-			h.peers.now()
+			if changed(objects) {
+				h.peers.now()
+			}
 		},
 		Failed: func(err error) {
 			h.log.Write(observe.StoreLost, zap.String("prefix", prefix), zap.Error(err))
@@ -114,17 +115,18 @@
 	}
 }
 
-func (h *host) takeConfiguration(objects map[string]objectstore.Object) {
+func (h *host) takeConfiguration(objects map[string]objectstore.Object) (isUrgent bool) {
 	o, found := objects[platform.ConfigurationKey]
 	if !found {
-		return
+		return false
 	}
 	configuration, err := platform.DecodeConfiguration(o)
 	if err != nil {
 		h.tellUnusable(o, err)
-		return
+		return false
 	}
 	h.setConfiguration(configuration)
+	return true
 }
 
 // setConfiguration puts a configuration in force if it is newer.
@@ -151,7 +153,9 @@
 	h.log.Write(observe.EntryUnusable, zap.String("key", o.Key), zap.Error(err))
 }
 
-func (h *host) takeServers(objects map[string]objectstore.Object) {
+// takeServers takes the backend servers. Those that come, or grow warm, are not
+// urgent: of many servers some always do.
+func (h *host) takeServers(objects map[string]objectstore.Object) (isUrgent bool) {
 	machines := make([]objectstore.Machine, 0, len(objects))
 	for _, o := range objects {
 		machine, err := platform.DecodeServer(o, h.settings().Zones)
@@ -161,20 +165,22 @@
 		}
 		machines = append(machines, machine)
 	}
-	h.pool.SetServers(machines)
+	isUrgent = h.pool.SetServers(machines)
 	h.knowsPool.Store(true)
+	return isUrgent
 }
 
-func (h *host) takeEvacuations(objects map[string]objectstore.Object) {
+func (h *host) takeEvacuations(objects map[string]objectstore.Object) (isUrgent bool) {
 	var zones []string
 	for _, o := range objects {
 		zones = append(zones, platform.DecodeEvacuation(o))
 	}
 	h.pool.SetEvacuated(zones)
 	h.log.Write(observe.ZonesEvacuated, zap.Strings("zones", zones))
+	return true
 }
 
-func (h *host) takeHosts(objects map[string]objectstore.Object) {
+func (h *host) takeHosts(objects map[string]objectstore.Object) (isUrgent bool) {
 	var records []roster.Host
 	for _, o := range objects {
 		var record roster.Host
@@ -186,6 +192,7 @@
 	}
 	h.roster.SetRecords(records)
 	h.knowsHosts.Store(true)
+	return true
 }
 
 // recordPause is the time between tries to write this host's record.
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -56,8 +56,9 @@
 	finished meter.Rate
 }
 
-// SetServers takes the platform's list of backend servers.
-func (p *Pool) SetServers(machines []objectstore.Machine) {
+// SetServers takes the platform's list of backend servers. It tells whether the list
+// takes something away: a server that left, started again or turned cold.
+func (p *Pool) SetServers(machines []objectstore.Machine) (takesAway bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -65,9 +66,21 @@
 	known := p.servers
 	p.servers = make(map[string]*server, len(machines))
 	for _, m := range machines {
-		p.servers[m.Name] = p.admit(known[m.Name], m, now, isFirst)
+		before, isKnown := known[m.Name]
+		takesAway = takesAway || isKnown && isLess(m, before.Machine)
+		p.servers[m.Name] = p.admit(before, m, now, isFirst)
+	}
+	for name := range known {
+		_, isListed := p.servers[name]
+		takesAway = takesAway || !isListed
 	}
 	p.regroup(now)
+	return takesAway
+}
+
+// isLess tells whether a server may get less than before.
+func isLess(m, before objectstore.Machine) bool {
+	return m.State != before.State || m.ColdFor > before.ColdFor || !m.Started.Equal(before.Started)
 }
 
 // admit returns the state of a listed server. A restart under the same name knows
