Let look-ups run out before a host stops

Answers of look-ups hold for 2 s, and some callers use them three times as long: 6 s, beyond the 5.4 s for which a host stays. Ruled out: a request that was read and not answered (the log shows none; the host answered another at 14.289); Shutdown cutting a new connection (none was accepted); closing the listener sooner or later (the window stays the same). Change: an answer holds for no more than a third of the time that a host stays, less a beat (1.63 s here). host.Validity, TestLookUpsRunOutBeforeAHostStops. look-ups have a file of their own.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -165,40 +165,6 @@
 	}
 }
 
-// lookUp returns the entry addresses for a caller: ready hosts of its region, or
-// all if it has none.
-func (h *host) lookUp(question platform.LookUp) ([]netip.AddrPort, time.Duration) {
-	ready := h.roster.Live()
-	if h.isReady() {
-		ready = append(ready, roster.Beat{
-			Host:  h.record(),
-			Ready: true,
-		})
-	}
-	var near, far []netip.AddrPort
-	for _, b := range ready {
-		switch {
-		case !b.Ready:
-		case b.Region == question.Region:
-			near = append(near, b.Entry)
-		default:
-			far = append(far, b.Entry)
-		}
-	}
-	if len(near) > 0 {
-		return near, h.lookUpValidity()
-	}
-	return far, h.lookUpValidity()
-}
-
-// lookUpPart is the part of the longest validity that look-ups use: a host that
-// is lost is named for less long.
-const lookUpPart = 0.4
-
-func (h *host) lookUpValidity() time.Duration {
-	return time.Duration(lookUpPart * h.settings().LookUpSeconds * float64(time.Second))
-}
-
 // regionHosts returns the live hosts of each region.
 func (h *host) regionHosts() map[string][]string {
 	hosts := map[string][]string{
