--- a/intake/forward.go
+++ b/intake/forward.go
@@ -44,7 +44,9 @@
 		if s := c.suspects(); s != nil && s.Refuses(c.request) {
 			return c.orElse(last, &SuspectedError{})
 		}
+		began := c.handler.now()
 		reservation, err := c.handler.Pool.Acquire(c.ctx, c.want())
+		c.waited += c.handler.now().Sub(began)
 		if err != nil {
 			return c.orElse(last, err)
 		}
@@ -71,7 +73,6 @@
 	server := reservation.Server
 	c.met = append(c.met, server.Name)
 	c.region = server.Region
-	c.waited += reservation.Waited
 	c.request.Added = http.Header{}
 	c.request.Added.Set(c.handler.Dialect.Target, server.Name)
 	if c.team != nil {
