--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -27,6 +27,7 @@
 
 	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/intake"
+	"trefoilline.example/trefoilline/internal/transport"
 	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/placement"
@@ -126,7 +127,7 @@
 	}
 	h.setBounds(settings)
 	h.peers.host = h
-	h.peers.client.Transport = newPeerTransport()
+	h.peers.client.Transport = transport.New(beatTimeout, idleTimeout, peerConnections)
 	h.peers.kick = make(chan struct{}, 1)
 	h.follow()
 	return h
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -30,6 +30,9 @@
 // beatTimeout bounds the sending of a beat.
 const beatTimeout = time.Second
 
+// peerConnections is how many connections to another host are kept unused.
+const peerConnections = 4
+
 // lossMemory is for how long losses go along with beats.
 const lossMemory = 10 * time.Second
 
@@ -87,26 +90,6 @@
 	}
 }
 
-// newPeerTransport returns a transport whose connections are found out soon when
-// they fall silent.
-func newPeerTransport() *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: beatTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     time.Second,
-			Interval: time.Second,
-			Count:    2,
-		},
-	}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     idleTimeout,
-	}
-}
-
 // kickPause is how long a beat that goes out early waits for further news.
 const kickPause = 20 * time.Millisecond
 
