--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -297,6 +297,17 @@
 		Cause:  "From time to time: the share of each service's load that has its places in other regions, how crowded each service is in each region, the share of the objects of each route that stay where that is not all, and how many hosts share the limits.",
 		Action: "None.",
 	}
+	TokenUnasked = Event{
+		Number: 308,
+		Name:   "token-unasked",
+		Level:  zapcore.DebugLevel,
+		Fields: []string{
+			"to",
+			"error",
+		},
+		Cause:  "Another host did not answer when it was asked for a token of a team's rate; the next one was asked, or the request refused.",
+		Action: "None; beats tell whether the host is lost.",
+	}
 	BeatUnreadable = Event{
 		Number: 306,
 		Name:   "beat-unreadable",
--- a/observe/list.go
+++ b/observe/list.go
@@ -31,6 +31,7 @@
 		BeatUnsent,
 		BeatUnreadable,
 		PartsSet,
+		TokenUnasked,
 		RequestRefused,
 		RequestUnknown,
 		AnswerBroken,
