--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -347,6 +347,26 @@
 	require.LessOrEqual(t, wait, time.Second)
 }
 
+// TestATokenOfAnotherHostLetsARequestPass has another host lend one token: it is asked
+// only once the host's own are used up.
+func TestATokenOfAnotherHostLetsARequestPass(t *testing.T) {
+	w := newWorld(t, sound)
+	var asked []string
+	w.handler.Borrow = func(_ context.Context, team string) bool {
+		asked = append(asked, team)
+		return len(asked) == 1
+	}
+	var statuses []int
+	for range 3 {
+		r := w.request(http.MethodGet, "/stock/17", "")
+		r.Header.Set(keyHeader, "small-key")
+		response, _ := w.send(r)
+		statuses = append(statuses, response.StatusCode)
+	}
+	require.Equal(t, []int{http.StatusOK, http.StatusOK, http.StatusTooManyRequests}, statuses)
+	require.Equal(t, []string{"small", "small"}, asked)
+}
+
 func TestAnOlderConfigurationNeverComesIntoForce(t *testing.T) {
 	w := newWorld(t, sound)
 	older := configuration()
--- a/intake/note.go
+++ b/intake/note.go
@@ -21,6 +21,10 @@
 		m.Count("late/" + m.Route(c.routeName()))
 		event = observe.RequestLate
 	}
+	if !c.handler.Log.Writes(event) {
+		// Most requests pass in time, and are not logged.
+		return
+	}
 	c.handler.Log.Write(event, append(c.fields(), zap.Int("status", status), zap.String("region", c.region),
 		zap.String("object", c.object()))...)
 }
--- a/observe/catalogue_test.go
+++ b/observe/catalogue_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -25,9 +26,9 @@
 	require.Equal(t, page.String(), string(written), "run: go run ./cmd/trefoillined events > docs/EVENTS.md")
 }
 
-// TestCatalogueHoldsEveryEvent finds the declared events in the source.
-func TestCatalogueHoldsEveryEvent(t *testing.T) {
-	file, err := parser.ParseFile(token.NewFileSet(), "catalogue.go", nil, 0)
+// declaredEvents counts the events that a file of the package declares.
+func declaredEvents(t *testing.T, name string) int {
+	file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
 	require.NoError(t, err)
 	declared := 0
 	ast.Inspect(file, func(n ast.Node) bool {
@@ -41,6 +42,17 @@
 		}
 		return true
 	})
+	return declared
+}
+
+// TestCatalogueHoldsEveryEvent finds the declared events in all sources of the package.
+func TestCatalogueHoldsEveryEvent(t *testing.T) {
+	names, err := filepath.Glob("*.go")
+	require.NoError(t, err)
+	declared := 0
+	for _, name := range names {
+		declared += declaredEvents(t, name)
+	}
 	require.Len(t, observe.Catalogue(), declared)
 	last := 0
 	for _, e := range observe.Catalogue() {
--- a/observe/event.go
+++ b/observe/event.go
@@ -26,6 +26,11 @@
 	Logger *zap.Logger
 }
 
+// Writes tells whether an event is logged at all.
+func (l Log) Writes(event Event) bool {
+	return l.Logger != nil && l.Logger.Core().Enabled(event.Level)
+}
+
 // Write logs an event. An error goes into the field "error".
 func (l Log) Write(event Event, fields ...zap.Field) {
 	if l.Logger == nil {
--- a/quota/lend_test.go
+++ b/quota/lend_test.go
@@ -58,8 +58,12 @@
 	f := newFleet(2, smallTeam)
 	f.run(rand.New(rand.NewPCG(1, 2)), 5*time.Second, even(2, 0))
 	lender := f.books[0]
-	for lender.Lend(smallTeam.Name) {
+	lent := 0
+	for lent < manyHosts && lender.Lend(smallTeam.Name) {
+		lent++
 	}
+	require.Positive(t, lent)
+	require.Less(t, lent, manyHosts, "more than a host has")
 	_, passed := lender.Take(smallTeam.Name)
 	require.False(t, passed, "what was lent is gone")
 	require.False(t, lender.Lend("unknown"))
@@ -68,3 +72,16 @@
 	require.False(t, undivided.Lend(smallTeam.Name))
 	require.False(t, undivided.MayBorrow("unknown"))
 }
+
+// TestATeamFarAboveItsRateIsLentNothing has the same team within its rate and at five
+// times it: then no host asks others.
+func TestATeamFarAboveItsRateIsLentNothing(t *testing.T) {
+	for total, may := range map[float64]bool{
+		15:  true,
+		100: false,
+	} {
+		f := newFleet(manyHosts, smallTeam)
+		f.run(rand.New(rand.NewPCG(1, 2)), 5*time.Second, even(manyHosts, total))
+		require.Equal(t, may, f.books[0].MayBorrow(smallTeam.Name), "asked for %v a second", total)
+	}
+}
