A host that reads the store is not behind while it rests

It rests for 0.3 s; another reader tells of a newer change by a beat; without patience it counted as behind at once, called again, and went on reading for five seconds more. Change: a reader's patience is its rest, and one that asks the store itself is not kept at it by each such change. Rest and patience stand side by side in source. TestAFollowerThatRestsIsNotBehind replays it, with the patience and without. Who rests and early beats are wired in internal/host without a test that fails: they spare calls, no promise hangs on them.

--- a/internal/host/follow.go
+++ b/internal/host/follow.go
@@ -49,16 +49,17 @@
 
 // addFollower follows a prefix, logs when that stops and works again, and tells the
 // other hosts at once of changes that are urgent; of all others the next beat tells.
-func (h *host) addFollower(prefix string, changed func(map[string]objectstore.Object) (isUrgent bool), period, rest time.Duration) {
+func (h *host) addFollower(prefix string, changed func(map[string]objectstore.Object) (isUrgent bool), period, gather time.Duration) {
 	h.sources[prefix] = &source{
 		host:   h,
 		prefix: prefix,
+		gather: gather,
 	}
 	h.followers[prefix] = &objectstore.Follower{
 		Source: h.sources[prefix],
 		Prefix: prefix,
 		Wait:   func() time.Duration { return h.watchWait(period) },
-		Rest:   func() time.Duration { return h.restOf(prefix, rest) },
+		Rest:   h.sources[prefix].rest,
 		Changed: func(objects map[string]objectstore.Object) {
 			if changed(objects) {
 				h.peers.now()
@@ -73,15 +74,6 @@
 	}
 }
 
-// restOf is how long to rest after changes of a prefix. Who follows a reader does not:
-// the reader has let them gather, and what came late here would seem lost.
-func (h *host) restOf(prefix string, rest time.Duration) time.Duration {
-	if h.sources[prefix].isReading() {
-		return rest
-	}
-	return 0
-}
-
 // watchWait is how long a watch waits. The hosts that read the store, one a region,
 // take turns at asking anew.
 func (h *host) watchWait(period time.Duration) time.Duration {
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -38,6 +38,9 @@
 type source struct {
 	host   *host
 	prefix string
+	// gather is how long this host rests between two calls of the store that tell
+	// changes.
+	gather time.Duration
 
 	mu sync.Mutex
 	// direct is until when this host asks the store itself.
@@ -60,25 +63,38 @@
 	return reader.Peers, follows
 }
 
-// goDirect makes this host ask the store itself for a while.
+// goDirect makes this host ask the store itself for a while. One that does already is
+// not kept at it by each change that another knows first.
 func (s *source) goDirect() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.direct = time.Now().Add(directTime)
+	if now := time.Now(); now.After(s.direct) {
+		s.direct = now.Add(directTime)
+	}
 }
 
 // relayTime is how long a change may take from the host that reads the store to
 // those that follow it.
 const relayTime = 500 * time.Millisecond
 
-// patience is how long a change that others know may be on its way here.
+// patience is how long a change that others know may be on its way here. Who reads the
+// store asks it again after its rest by itself.
 func (s *source) patience() time.Duration {
 	if s.isReading() {
-		return 0
+		return s.gather
 	}
 	return relayTime
 }
 
+// rest is how long to rest after changes. Who follows a reader does not: the reader has
+// let them gather.
+func (s *source) rest() time.Duration {
+	if s.isReading() {
+		return s.gather
+	}
+	return 0
+}
+
 func (s *source) isReading() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/objectstore/rest_test.go
+++ b/objectstore/rest_test.go
@@ -71,3 +71,37 @@
 		})
 	}
 }
+
+// TestAFollowerThatRestsIsNotBehind has others tell a reader every tenth of a second
+// what they know. It asks the store by itself after its rest; without patience for that
+// each change that another knows first brings one more call.
+func TestAFollowerThatRestsIsNotBehind(t *testing.T) {
+	const rest = 300 * time.Millisecond
+	for patience, isBehind := range map[time.Duration]bool{
+		0:    true,
+		rest: false,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			source := &restless{
+				began: time.Now(),
+			}
+			follower := &objectstore.Follower{
+				Source:  source,
+				Prefix:  "servers/",
+				Changed: func(map[string]objectstore.Object) {},
+				Rest:    func() time.Duration { return rest },
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			go follower.Run(ctx)
+			behind := 0
+			for ctx.Err() == nil {
+				time.Sleep(changePeriod)
+				if follower.CatchUp(source.now(), patience) == objectstore.AskStore {
+					behind++
+				}
+			}
+			require.Equal(t, isBehind, behind > 0, "patience %v: %d times", patience, behind)
+		})
+	}
+}
