Rank servers once for each affinity key, and find waiting requests by their server

Cause: each Acquire filtered, hashed and sorted all servers of the service, and each release did so again for every queued request, under one lock. The load that shows it: hundreds of servers with a full queue. A keyless request never set the rate of a cold server's bucket, so it was rejected while all servers were cold.

Ruled out: a sorted table for the whole service (keys must stay on their servers through an update, and weighted rendezvous ranks differ for each key).

Change: a ranking of the 32 best servers of a key, per region of this host and the others, stays valid until a server is added, replaced or removed; who drains, fails or is cold is skipped. A release tries the requests that wait for its server, and all queued ones every 20 ms. The mean utilization is computed after 50 ms or a number of uses, and a host's part of a cold rate once for each change of the live hosts. Keyless requests pass over cold servers without a token.

Choice of servers: the property test passes on the old and the new code; the keyless test fails on the old one.

--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -9,56 +9,88 @@
 // this host has no token is skipped in favour of the next in the ranking. If every
 // eligible server is ejected, ejected servers are used rather than none. A request
 // without an affinity key gets the least loaded server only.
+//
+// The result is valid until the next call.
 func (p *Pool) candidates(svc *serviceState, request *Request, now time.Time) []*server {
-	servers := p.eligible(svc, request)
+	if request.AffinityKey == "" {
+		return p.keylessCandidates(svc, request, now)
+	}
+	if chosen, isComplete := p.rankedCandidates(svc, request, now); isComplete {
+		return chosen
+	}
+	return p.searchCandidates(svc, request, now)
+}
+
+// rankedCandidates returns the candidates if they are among the servers that the ranking of
+// the request's affinity key keeps. It reports false if they may not be.
+func (p *Pool) rankedCandidates(svc *serviceState, request *Request, now time.Time) ([]*server, bool) {
+	ranking := p.ranking(svc, request)
+	isLocal := p.isHomeLocal(request.Route, ranking.homeFraction)
+	ranked := ranking.remote
+	if isLocal {
+		ranked = ranking.local
+	}
+	limit := p.candidateLimit(svc, isLocal, now)
+	hasHealthy := false
+	p.chosen = p.chosen[:0]
+	for _, s := range ranked {
+		if !s.isUsable() || !s.isHealthy(now) || !request.allows(s) {
+			continue
+		}
+		hasHealthy = true
+		if s.isCold(now) && !p.hasColdToken(s, now) {
+			continue
+		}
+		p.chosen = append(p.chosen, s)
+		if len(p.chosen) == limit {
+			return p.chosen, true
+		}
+	}
+	holdsAllServers := len(ranked) < maxRanked
+	return p.chosen, holdsAllServers && hasHealthy
+}
+
+// searchCandidates returns the candidates among all servers of the service.
+func (p *Pool) searchCandidates(svc *serviceState, request *Request, now time.Time) []*server {
+	servers := p.healthyOrAll(p.eligible(svc, request), now)
 	if len(servers) == 0 {
 		return nil
 	}
-	healthy := filter(servers, func(s *server) bool { return s.isHealthy(now) })
-	if len(healthy) > 0 {
-		servers = healthy
-	}
 	servers = p.filterByRegion(servers, request)
-	if request.AffinityKey == "" {
-		return leastLoaded(servers, now)
-	}
-	var chosen []*server
-	limit := p.candidateLimit(servers, now)
+	limit := p.candidateLimit(svc, servers[0].Region == p.Region, now)
+	p.chosen = p.chosen[:0]
 	for _, r := range rankServers(request.hashKey(), servers) {
-		if len(chosen) == limit {
+		if len(p.chosen) == limit {
 			break
 		}
 		if r.server.isCold(now) && !p.hasColdToken(r.server, now) {
 			continue
 		}
-		chosen = append(chosen, r.server)
+		p.chosen = append(p.chosen, r.server)
 	}
-	return chosen
+	return p.chosen
 }
 
-// singleServerUtilization is the mean utilization of the servers above which each
-// affinity key uses one server only.
-const singleServerUtilization = 0.6
-
-// candidateLimit returns how many of the servers an affinity key may use: one if
-// the servers are highly utilized, else the configured number.
-//
-// The caches of all servers may be empty at once: at the start of a day, after a restart
-// of all servers, or after any fault in which they lose their caches. The servers then
-// fill up with requests whose keys are not cached. If a request overflowed to the second
-// server of its key, the key would not be cached there either, and the request would
-// occupy a slot for three times as long. With one server for each key, the keys are
-// cached soonest.
-func (p *Pool) candidateLimit(servers []*server, now time.Time) int {
-	load, slots := 0.0, 0.0
-	for _, s := range servers {
-		load += s.meanLoadAt(now)
-		slots += float64(s.Slots)
+// keylessCandidates returns the least loaded server, as a list of one, for a request without
+// an affinity key. Cold servers for which this host has no token are left out.
+func (p *Pool) keylessCandidates(svc *serviceState, request *Request, now time.Time) []*server {
+	servers := p.healthyOrAll(p.eligible(svc, request), now)
+	if len(servers) == 0 {
+		return nil
 	}
-	if load > singleServerUtilization*slots {
-		return 1
+	p.chosen = p.chosen[:0]
+	for _, s := range p.filterByRegion(servers, request) {
+		if s.isCold(now) && !p.hasColdToken(s, now) {
+			continue
+		}
+		switch {
+		case len(p.chosen) == 0:
+			p.chosen = append(p.chosen, s)
+		case s.load(now)/float64(s.Slots) < p.chosen[0].load(now)/float64(p.chosen[0].Slots):
+			p.chosen[0] = s
+		}
 	}
-	return p.serversPerKey()
+	return p.chosen
 }
 
 // eligible returns the service's servers that accept requests and that the request
@@ -67,6 +99,15 @@
 	return filter(svc.servers, func(s *server) bool { return s.isUsable() && request.allows(s) })
 }
 
+// healthyOrAll returns the servers that are not ejected, or all of them if there is none.
+func (p *Pool) healthyOrAll(servers []*server, now time.Time) []*server {
+	healthy := filter(servers, func(s *server) bool { return s.isHealthy(now) })
+	if len(healthy) > 0 {
+		return healthy
+	}
+	return servers
+}
+
 // filterByRegion returns the servers of this region if the request is to be served
 // locally, else those of the other regions. If one of the two sets is empty, it
 // returns the other.
@@ -79,14 +120,24 @@
 	return local
 }
 
+// homePrefix precedes the text that is hashed to find out whether an affinity key is served
+// in this region.
+const homePrefix = "home\x00"
+
 // isKeyLocal reports whether the request's affinity key is served in this region.
 // Requests without a key always are.
 func (p *Pool) isKeyLocal(request *Request) bool {
-	share, isSet := p.localShares[request.Route]
-	if !isSet || request.AffinityKey == "" {
+	if request.AffinityKey == "" {
 		return true
 	}
-	return HashFraction("home\x00"+request.hashKey()) < share
+	return p.isHomeLocal(request.Route, HashFraction(homePrefix+request.hashKey()))
+}
+
+// isHomeLocal reports whether this region serves the keys of a route that hash to the given
+// fraction.
+func (p *Pool) isHomeLocal(route string, fraction float64) bool {
+	share, isSet := p.localShares[route]
+	return !isSet || fraction < share
 }
 
 func filter(servers []*server, include func(*server) bool) []*server {
@@ -99,37 +150,22 @@
 	return included
 }
 
-// leastLoaded returns the server with the lowest load relative to its slots, as a
-// list of one.
-func leastLoaded(servers []*server, now time.Time) []*server {
-	best := servers[0]
-	for _, s := range servers[1:] {
-		if s.load(now)/float64(s.Slots) < best.load(now)/float64(best.Slots) {
-			best = s
-		}
-	}
-	return []*server{
-		best,
-	}
-}
-
 // reserveServer selects the first candidate with a free slot, or else the least loaded
 // one whose queue has room, and counts a request on it. It returns nil if none has room.
-// It also returns nil, without trying the other candidates, if the selected server is
-// cold and this host has no token for it.
 func (p *Pool) reserveServer(candidates []*server, now time.Time) *server {
 	var best *server
+	bestLoad := 0.0
 	for _, s := range candidates {
-		room := float64(s.Slots+p.serverQueueLimit()) - s.load(now)
-		if room < 1 {
+		load := s.load(now)
+		if float64(s.Slots+p.serverQueueLimit())-load < 1 {
 			continue
 		}
-		if s.load(now) < float64(s.Slots) {
+		if load < float64(s.Slots) {
 			best = s
 			break
 		}
-		if best == nil || s.load(now) < best.load(now) {
-			best = s
+		if best == nil || load < bestLoad {
+			best, bestLoad = s, load
 		}
 	}
 	if best == nil {
--- a/placement/cold.go
+++ b/placement/cold.go
@@ -33,10 +33,11 @@
 }
 
 // takeColdToken takes a token for a request to a cold server. It reports false if
-// there is none. It uses the rate that hasColdToken set last. A request without an
-// affinity key gets here without a call of hasColdToken, so that the rate is the one of an
-// earlier request with a key. If there was none, the rate is zero and there is no token.
+// there is none.
 func (p *Pool) takeColdToken(s *server, now time.Time) bool {
+	if !p.hasColdToken(s, now) {
+		return false
+	}
 	if _, isLimited := p.coldRate(s); !isLimited {
 		return true
 	}
@@ -50,7 +51,11 @@
 	if total <= 0 {
 		return 0, false
 	}
-	return total * ColdRateShare(p.Host, s.Region, s.Name, p.hosts), true
+	if s.coldGeneration != p.hostsGeneration || p.hostsGeneration == 0 {
+		s.coldShare = ColdRateShare(p.Host, s.Region, s.Name, p.hosts)
+		s.coldGeneration = p.hostsGeneration
+	}
+	return total * s.coldShare, true
 }
 
 // ColdRateShare returns the fraction of a cold server's rate that a host may send,
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -105,9 +105,7 @@
 		s.ejectedUntil = now.Add(maxEjection)
 	case Inconclusive:
 	}
-	svc := p.service(s.Service)
-	svc.completions.Add(now)
-	p.dispatch(svc, now)
+	p.dispatchAfterRelease(p.service(s.Service), s, now)
 }
 
 // eject ejects the server after a [NoResponse] outcome, for longer with each one in a
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -1,11 +1,11 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
-	"trefoilline.example/trefoilline/meter"
 	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/routing"
 )
@@ -40,13 +40,17 @@
 	serviceConfigs map[string]routing.Service
 	// evacuatedZones are the zones whose servers get no requests.
 	evacuatedZones []string
-	// hosts are the live hosts by region.
-	hosts map[string][]string
+	// hosts are the live hosts by region. Each change of them is a generation, the first
+	// of which is 1.
+	hosts           map[string][]string
+	hostsGeneration uint64
 	// localShares is the fraction of each route's affinity keys that this region
 	// serves.
 	localShares map[string]float64
 	// slotTimes are the measured slot times by route.
 	slotTimes map[string]*slotTime
+	// chosen is the memory for the result of [Pool.candidates].
+	chosen []*server
 }
 
 // serviceState holds a service's servers and the requests that are queued for them.
@@ -56,9 +60,12 @@
 	queue []*queuedRequest
 	// sequence is the sequence number of the last queued request.
 	sequence uint64
-	// completions is the recent rate at which requests of this host end, per second. It
-	// is recorded but not used.
-	completions meter.Rate
+	// dispatchedAt is when all queued requests were last tried.
+	dispatchedAt time.Time
+	// rankings holds the rankings of the keys of recent requests. It is cleared when
+	// servers are added, replaced or removed.
+	rankings    map[rankingKey]*keyRanking
+	utilization meanUtilization
 }
 
 // SetServers replaces the list of backend servers with the platform's. It reports
@@ -74,11 +81,20 @@
 	for _, m := range machines {
 		previous, isKnown := previousServers[m.Name]
 		reducesCapacity = reducesCapacity || isKnown && mayHaveLessCapacity(m, previous.Machine)
+		changesRanking := !isKnown || previous.Service != m.Service || previous.Region != m.Region || previous.Slots != m.Slots
+		if changesRanking && isKnown {
+			p.service(previous.Service).rankings = nil
+		}
 		p.servers[m.Name] = p.updateServer(previous, m, now, isFirst)
+		if changesRanking || p.servers[m.Name] != previous {
+			p.service(m.Service).rankings = nil
+		}
 	}
-	for name := range previousServers {
-		_, isListed := p.servers[name]
-		reducesCapacity = reducesCapacity || !isListed
+	for name, previous := range previousServers {
+		if _, isListed := p.servers[name]; !isListed {
+			reducesCapacity = true
+			p.service(previous.Service).rankings = nil
+		}
 	}
 	p.assignServers(now)
 	return reducesCapacity
@@ -178,7 +194,18 @@
 func (p *Pool) SetHosts(hosts map[string][]string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.hosts != nil && maps.EqualFunc(p.hosts, hosts, slices.Equal) {
+		return
+	}
 	p.hosts = hosts
+	p.hostsGeneration++
+}
+
+// QueuedRequests returns the number of requests that are queued for the service.
+func (p *Pool) QueuedRequests(service string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.service(service).queue)
 }
 
 // SetLocalShares sets the fraction of each route's affinity keys that this region
--- a/placement/server.go
+++ b/placement/server.go
@@ -35,6 +35,13 @@
 	warmUpUntil time.Time
 	// coldTokens limits the requests of this host to the server while it is cold.
 	coldTokens meter.TokenBucket
+	// coldShare is this host's share of the server's cold rate while hosts are those of
+	// the given generation.
+	coldShare      float64
+	coldGeneration uint64
+	// waiting are the queued requests that have the server as a candidate, in queue
+	// order.
+	waiting []*queuedRequest
 }
 
 // otherHostsLoadHalfLife is the half-life of the reported load of other hosts, which
