Send heartbeats through relays, and divide rates among few owners

Ruled out: gossip of random pairs (each body holds all hosts), the tree in package fleet (reads the store for its feeds, and its messages are those of the other daemon), sums of demand by region for the quota (a host's own part would be counted twice while reports are on their way).

A host sends its heartbeat to the relays of its region; these send digests, of what changed since the last acknowledged one, to the hosts of their region and to the relays of the others. A rate is divided among two owners in each region, more for large rates; the others borrow each token from an owner of their region, and a refusal says when there will be one. Shares of hosts that are no owners any more stay reserved until they report none. A team that gets a rate no longer starts with the whole rate on each host. Hosts of the build before get heartbeats of all hosts, as before; the recorded heartbeat and record have the new field 'digests'.

--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -99,9 +99,10 @@
 	// have reached a backend server. A nil budget denies all of these.
 	RetryBudget *RetryBudget
 	// BorrowToken takes a token of a team's rate from another host when this host has
-	// none left. It returns false if no other host has a token. If it is nil, no
-	// tokens are borrowed.
-	BorrowToken func(ctx context.Context, team string) bool
+	// none left. If no other host has a token, it returns false and the time until one of
+	// them expects to have one, zero if it knows none. If BorrowToken is nil, no tokens
+	// are borrowed.
+	BorrowToken func(ctx context.Context, team string) (time.Duration, bool)
 	// CrashDetector detects requests that crash backend servers. It may be nil.
 	CrashDetector retry.CrashDetector
 	// Clock returns the current time; nil means [time.Now].
--- a/bufferproxy/handler_test.go
+++ b/bufferproxy/handler_test.go
@@ -359,22 +359,26 @@
 }
 
 // TestRequestUsesBorrowedToken has another host lend one token: the first request uses
-// the host's own token, the second the borrowed one, and the third is rejected.
+// the host's own token, the second the borrowed one, and the third is rejected with the time
+// until another host has a token again.
 func TestRequestUsesBorrowedToken(t *testing.T) {
+	const othersWait = 7 * time.Millisecond
 	host := newTestHost(t, respondOK)
 	var borrowers []string
-	host.handler.BorrowToken = func(_ context.Context, team string) bool {
+	var last *http.Response
+	host.handler.BorrowToken = func(_ context.Context, team string) (time.Duration, bool) {
 		borrowers = append(borrowers, team)
-		return len(borrowers) == 1
+		return othersWait, len(borrowers) == 1
 	}
 	var statuses []int
 	for range 3 {
 		r := host.request(http.MethodGet, "/stock/17", "")
 		r.Header.Set(apiKeyHeader, "small-key")
-		response, _ := host.send(r)
-		statuses = append(statuses, response.StatusCode)
+		last, _ = host.send(r)
+		statuses = append(statuses, last.StatusCode)
 	}
 	require.Equal(t, []int{http.StatusOK, http.StatusOK, http.StatusTooManyRequests}, statuses)
+	require.Equal(t, othersWait.String(), last.Header.Get("Retry-After"), "the caller must be told when another host has a token")
 	require.Equal(t, []string{"small", "small"}, borrowers)
 }
 
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -177,18 +177,30 @@
 	if !s.handler.RateLimiter.HasShares() {
 		return &StartingError{}
 	}
-	if wait, ok := s.handler.RateLimiter.TakeToken(s.team.Name); !ok && !s.borrowToken() {
-		return &RateLimitError{
-			Team:       s.team.Name,
-			RetryAfter: wait,
-		}
+	wait, ok := s.handler.RateLimiter.TakeToken(s.team.Name)
+	if ok {
+		return nil
+	}
+	othersWait, ok := s.borrowToken()
+	if ok {
+		return nil
+	}
+	if othersWait > 0 {
+		wait = min(wait, othersWait)
+	}
+	return &RateLimitError{
+		Team:       s.team.Name,
+		RetryAfter: wait,
 	}
-	return nil
 }
 
-// borrowToken takes a rate-limit token of the team from another host.
-func (s *requestState) borrowToken() bool {
-	return s.handler.BorrowToken != nil && s.handler.BorrowToken(s.ctx, s.team.Name)
+// borrowToken takes a rate-limit token of the team from another host. If there is none, it
+// returns false and the time until another host has one, zero if that is not known.
+func (s *requestState) borrowToken() (time.Duration, bool) {
+	if s.handler.BorrowToken == nil {
+		return 0, false
+	}
+	return s.handler.BorrowToken(s.ctx, s.team.Name)
 }
 
 // placementRequest describes which backend servers may serve the request, and how long it
--- a/internal/host/borrow.go
+++ b/internal/host/borrow.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"slices"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,69 +22,105 @@
 
 const (
 	// maxTokenRequests is how many hosts are asked for a token on behalf of one
-	// request.
+	// request, and maxOwnerRequests how many if a few hosts own the team's rate.
 	maxTokenRequests = 6
+	maxOwnerRequests = 3
 	// tokenRequestTimeout bounds each of these calls. They stay within one region.
 	tokenRequestTimeout = 40 * time.Millisecond
 )
 
 // borrowToken gets a rate limit token for a request of a team from another host of this
-// region and reports whether it got one. It asks the hosts with the lowest demand of the
-// team first, because they are the most likely to have unused tokens.
-func (h *host) borrowToken(ctx context.Context, team string) bool {
+// region. If it gets none, it returns false and the shortest time after which one of the asked
+// hosts expects to have one, zero if none said so.
+func (h *host) borrowToken(ctx context.Context, team string) (time.Duration, bool) {
 	if !h.limiter.ShouldBorrow(team) {
-		return false
+		return 0, false
 	}
-	for _, peer := range h.tokenLenders(team) {
-		if h.peerMessenger.requestToken(ctx, peer.PeerAddress, team) {
-			return true
+	var shortest time.Duration
+	for i, address := range h.tokenLenders(team) {
+		wait, ok := h.peerMessenger.requestToken(ctx, address, team, i == 0 && !h.limiter.IsOwner(team))
+		if ok {
+			return 0, true
+		}
+		if wait > 0 && (shortest == 0 || wait < shortest) {
+			shortest = wait
 		}
 	}
-	return false
+	h.limiter.RecordRefusal(team, shortest)
+	return shortest, false
 }
 
-// tokenLenders returns the hosts to ask for a token of a team, in the order in which to
-// ask them. Hosts with equal demand are in random order.
-func (h *host) tokenLenders(team string) []membership.Heartbeat {
+// tokenLenders returns the addresses of the hosts to ask for a token of a team, in the order
+// in which to ask them: the owners of the team's rate in this region, or if all hosts own a
+// part, those with the lowest demand of the team, because they are the most likely to have
+// unused tokens. Hosts between which nothing else decides are in random order.
+func (h *host) tokenLenders(team string) []netip.AddrPort {
+	owners, isOwned := h.limiter.OwnersIn(h.settings().Region, team)
 	candidates := slices.DeleteFunc(h.roster.LivePeers(), func(peer membership.Heartbeat) bool {
-		return peer.Region != h.settings().Region
+		return peer.Region != h.settings().Region || isOwned && !slices.Contains(owners, peer.Name)
 	})
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	slices.SortStableFunc(candidates, func(a, b membership.Heartbeat) int {
-		return cmp.Compare(a.TeamDemand[team], b.TeamDemand[team])
-	})
-	return candidates[:min(len(candidates), maxTokenRequests)]
+	limit := maxOwnerRequests
+	if !isOwned {
+		limit = maxTokenRequests
+		slices.SortStableFunc(candidates, func(a, b membership.Heartbeat) int {
+			return cmp.Compare(a.TeamDemand[team], b.TeamDemand[team])
+		})
+	}
+	var addresses []netip.AddrPort
+	for _, peer := range candidates[:min(len(candidates), limit)] {
+		addresses = append(addresses, peer.PeerAddress)
+	}
+	return addresses
 }
 
-// requestToken asks another host for a token and reports whether it gave one. A host that
-// does not respond counts as having none. If the response is lost, the token is lost too, so
-// the team can send one request less but never one too many.
-func (p *peerMessenger) requestToken(ctx context.Context, address netip.AddrPort, team string) bool {
+// waitHeader is the header of a refusal to lend a token that says after how many milliseconds
+// the host expects to have one.
+const waitHeader = "Trefoilline-Token-Wait-Ms"
+
+// requestToken asks another host for a token and reports whether it gave one, or when that
+// host expects to have one, zero if it did not say. A host that does not respond counts as
+// having none. If the response is lost, the token is lost too, so the team can send one
+// request less but never one too many.
+func (p *peerMessenger) requestToken(ctx context.Context, address netip.AddrPort, team string, countDemand bool) (time.Duration, bool) {
 	ctx, cancel := context.WithTimeout(ctx, tokenRequestTimeout)
 	defer cancel()
-	target := "http://" + address.String() + tokenPath + "?" + url.Values{
+	query := url.Values{
 		"team": {team},
-	}.Encode()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	}
+	if countDemand {
+		query.Set("demand", "true")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+tokenPath+"?"+query.Encode(), nil)
 	if err != nil {
 		p.host.log.Write(observe.TokenRequestFailed, zap.String("to", address.String()), zap.Error(err))
-		return false
+		return 0, false
 	}
 	response, err := p.client.Do(request)
 	if err != nil {
 		p.host.log.Write(observe.TokenRequestFailed, zap.String("to", address.String()), zap.Error(err))
-		return false
+		return 0, false
 	}
 	_ = response.Body.Close()
-	return response.StatusCode == http.StatusNoContent
+	// A host of an earlier build does not say how long the wait is.
+	wait, _ := strconv.ParseInt(response.Header.Get(waitHeader), 10, 32)
+	return max(0, time.Duration(wait)*time.Millisecond), response.StatusCode == http.StatusNoContent
 }
 
 // handleTokenRequest answers another host that asks for a token: 204 gives it one, 409
 // means that this host has none to spare.
 func (p *peerMessenger) handleTokenRequest(w http.ResponseWriter, r *http.Request) {
-	if !p.host.limiter.LendToken(r.URL.Query().Get("team")) {
-		w.WriteHeader(http.StatusConflict)
+	query := r.URL.Query()
+	wait, ok := p.host.limiter.LendToken(query.Get("team"), query.Has("demand"))
+	if ok {
+		w.WriteHeader(http.StatusNoContent)
 		return
 	}
-	w.WriteHeader(http.StatusNoContent)
+	if wait > 0 {
+		w.Header().Set(waitHeader, strconv.FormatInt(int64(min(wait, maxTokenWait)/time.Millisecond)+1, 10))
+	}
+	w.WriteHeader(http.StatusConflict)
 }
+
+// maxTokenWait is the longest wait that a refusal to lend a token states.
+const maxTokenWait = time.Minute
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -81,6 +81,8 @@
 	// remoteShares holds the fraction of this region's load that other regions serve, by
 	// service. It is nil until it is first computed.
 	remoteShares atomic.Pointer[placement.RemoteShares]
+	// ownership is what the owners of the teams' rates were last selected from.
+	ownership ownershipInput
 	// lastRegionShareLog is when the remote and local shares were last logged.
 	lastRegionShareLog time.Time
 }
@@ -182,6 +184,7 @@
 		Zone:          h.settings().Zone,
 		CallerAddress: h.settings().CallerAddress,
 		PeerAddress:   h.settings().PeerAddress,
+		ReadsDigests:  true,
 	}
 }
 
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -46,6 +46,10 @@
 	client   http.Client
 	// wake makes runHeartbeats send the next heartbeat early.
 	wake chan struct{}
+	// isRelay is true if the last messages were those of a relay.
+	isRelay atomic.Bool
+	// publisher builds the digests while this host is a relay.
+	publisher membership.Publisher
 
 	mu sync.Mutex
 	// sending holds the addresses to which a heartbeat is being sent.
@@ -56,6 +60,7 @@
 func (p *peerMessenger) newHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+heartbeatPath, p.handleHeartbeat)
+	mux.HandleFunc("POST "+digestPath, p.handleDigest)
 	mux.HandleFunc("GET "+copyPath, p.handleCopyRequest)
 	mux.HandleFunc("POST "+tokenPath, p.handleTokenRequest)
 	return mux
@@ -69,11 +74,9 @@
 		return
 	}
 	if p.host.roster.Receive(heartbeat) {
-		for _, report := range heartbeat.CrashReports {
-			p.host.crashDetector.AddReport(report)
-		}
+		p.host.addCrashReports(heartbeat.CrashReports)
 	}
-	w.WriteHeader(http.StatusNoContent)
+	answerWithHint(w, p.host.roster.HintForHeartbeat(p.host.record(), p.host.draining.Load(), heartbeat.HostRecord))
 	// The sender need not wait until this host has caught up.
 	go p.host.catchUp(context.WithoutCancel(r.Context()), heartbeat)
 }
@@ -89,13 +92,24 @@
 		case <-ticker.C:
 		case <-p.wake:
 			// Changes often come several at a time; one heartbeat reports them all.
-			sleep(ctx, earlyHeartbeatDelay)
+			sleep(ctx, p.earlyDelay())
 		}
 	}
 }
 
-// earlyHeartbeatDelay is how long an early heartbeat waits for further changes.
-const earlyHeartbeatDelay = 20 * time.Millisecond
+// How long an early heartbeat waits for further changes. A relay, which passes the changes of
+// many hosts on to many others, waits longer.
+const (
+	earlyHeartbeatDelay = 20 * time.Millisecond
+	earlyDigestDelay    = 100 * time.Millisecond
+)
+
+func (p *peerMessenger) earlyDelay() time.Duration {
+	if p.isRelay.Load() {
+		return earlyDigestDelay
+	}
+	return earlyHeartbeatDelay
+}
 
 // sendHeartbeatSoon makes runHeartbeats send a heartbeat without waiting for the end of the
 // interval.
@@ -119,8 +133,9 @@
 	return uint64(min(1+hosts/hostsPerIntervalStep, maxFullInterval))
 }
 
-// sendHeartbeats sends a heartbeat to all other hosts, except those to which an earlier one is
-// still being sent. Hosts of this region always get the full heartbeat.
+// sendHeartbeats sends a heartbeat, and digests if this host is a relay, to the hosts that are
+// to get one, except those to which an earlier one is still being sent. Hosts of this region
+// always get the full heartbeat.
 func (p *peerMessenger) sendHeartbeats(ctx context.Context) {
 	heartbeat := p.host.heartbeat()
 	full, err := json.Marshal(heartbeat)
@@ -134,8 +149,9 @@
 		return
 	}
 	targets := p.targets()
-	isFull := heartbeat.Sequence%fullInterval(len(targets)) == 0
-	for _, target := range targets {
+	p.isRelay.Store(targets.IsRelay)
+	isFull := targets.HasRelays || heartbeat.Sequence%fullInterval(len(targets.Heartbeats)) == 0
+	for _, target := range targets.Heartbeats {
 		if !p.markSending(target.PeerAddress) {
 			continue
 		}
@@ -145,18 +161,20 @@
 		}
 		go p.sendHeartbeat(ctx, target.PeerAddress, body)
 	}
+	p.sendDigests(ctx, heartbeat, targets.Digests)
 }
 
-// targets returns the hosts that get heartbeats. While no other host is known, these are
-// the seeds, which are assumed to be in this region.
-func (p *peerMessenger) targets() []membership.HostRecord {
-	targets := p.host.roster.HeartbeatTargets()
-	if len(targets) > 0 {
+// targets returns the hosts that get heartbeats and digests. While no other host is heard from,
+// the seeds get heartbeats too; they are assumed to be in this region.
+func (p *peerMessenger) targets() membership.Targets {
+	targets := p.host.roster.Targets(p.host.record(), p.host.draining.Load())
+	if len(p.host.roster.LivePeers()) > 0 {
 		return targets
 	}
 	for _, address := range p.host.settings().Seeds {
-		if address != p.host.settings().PeerAddress {
-			targets = append(targets, membership.HostRecord{
+		isTarget := slices.ContainsFunc(targets.Heartbeats, func(h membership.HostRecord) bool { return h.PeerAddress == address })
+		if address != p.host.settings().PeerAddress && !isTarget {
+			targets.Heartbeats = append(targets.Heartbeats, membership.HostRecord{
 				PeerAddress: address,
 				Region:      p.host.settings().Region,
 			})
@@ -179,30 +197,49 @@
 	return true
 }
 
-// sendHeartbeat sends a heartbeat and records the round trip time. A heartbeat that is lost is not
-// sent again; the next one replaces it.
+func (p *peerMessenger) unmarkSending(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.sending, address)
+}
+
+// sendHeartbeat sends a heartbeat. One that is lost is not sent again; the next one replaces
+// it.
 func (p *peerMessenger) sendHeartbeat(ctx context.Context, address netip.AddrPort, body []byte) {
-	defer func() {
-		p.mu.Lock()
-		delete(p.sending, address)
-		p.mu.Unlock()
-	}()
+	if status, response := p.post(ctx, address, heartbeatPath, body); status == http.StatusOK {
+		p.readRelayHint(response)
+	}
+}
+
+// maxPeerResponseBytes bounds the response to a heartbeat or a digest.
+const maxPeerResponseBytes = 64 << 10
+
+// post sends a message to another host, records the round-trip time, and ends the mark that
+// one is being sent there. It returns the status and the body of the response, or zero if
+// there was none.
+func (p *peerMessenger) post(ctx context.Context, address netip.AddrPort, path string, body []byte) (int, []byte) {
+	defer p.unmarkSending(address)
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+heartbeatPath, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+path, bytes.NewReader(body))
 	if err != nil {
 		p.host.log.Write(observe.HeartbeatSendFailed, zap.Error(err))
-		return
+		return 0, nil
 	}
 	start := time.Now()
 	response, err := p.client.Do(request)
 	if err != nil {
 		p.host.log.Write(observe.HeartbeatSendFailed, zap.String("to", address.String()), zap.Error(err))
-		return
+		return 0, nil
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxPeerResponseBytes))
+	if err != nil {
+		p.host.log.Write(observe.HeartbeatSendFailed, zap.String("to", address.String()), zap.Error(err))
+		return 0, nil
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	_ = response.Body.Close()
 	p.host.roster.RecordRoundTrip(address, time.Since(start))
+	return response.StatusCode, content
 }
 
 // heartbeat returns this host's next heartbeat.
@@ -247,6 +284,24 @@
 	h.peerMessenger.sendHeartbeatSoon()
 }
 
+// addCrashReports adds crash reports of other hosts. What is new is part of this host's own
+// heartbeats and digests too; a relay sends one early.
+func (h *host) addCrashReports(reports []crashdetect.Report) {
+	hasNew := false
+	for _, report := range reports {
+		if !h.crashDetector.AddReport(report) {
+			continue
+		}
+		hasNew = true
+		h.crashReports.mu.Lock()
+		h.crashReports.recent = append(h.crashReports.recent, report)
+		h.crashReports.mu.Unlock()
+	}
+	if hasNew && h.peerMessenger.isRelay.Load() {
+		h.peerMessenger.sendHeartbeatSoon()
+	}
+}
+
 // recentCrashReports returns the crash reports and clearances of the last
 // [crashReportRepeatTime] and drops older ones.
 func (h *host) recentCrashReports() []crashdetect.Report {
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,6 +12,7 @@
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/placement"
 	"trefoilline.example/trefoilline/quota"
+	"trefoilline.example/trefoilline/routing"
 )
 
 // peerUpdateInterval is the time between two runs of the work of
@@ -23,10 +25,12 @@
 func (h *host) updateFromPeers(ctx context.Context) {
 	lastUpdate := time.Now()
 	for ctx.Err() == nil {
+		liveHosts := h.liveHostsByRegion()
 		if h.hostsLoaded.Load() {
+			h.updateOwnership(liveHosts)
 			h.limiter.UpdateShares(h.quotaReports())
 		}
-		h.pool.SetHosts(h.liveHostsByRegion())
+		h.pool.SetHosts(liveHosts)
 		now := time.Now()
 		h.updateRemoteShares(now.Sub(lastUpdate))
 		lastUpdate = now
@@ -34,6 +38,36 @@
 	}
 }
 
+// ownershipInput is what the owners of the teams' rates follow from.
+type ownershipInput struct {
+	configuration *routing.Index
+	liveHosts     map[string][]string
+}
+
+// updateOwnership selects the owners of the teams' rates if the live hosts or the teams have
+// changed. In a fleet in which all hosts send heartbeats to each other, all own a part of each rate.
+func (h *host) updateOwnership(liveHosts map[string][]string) {
+	input := ownershipInput{
+		configuration: h.handler.Configuration(),
+		liveHosts:     liveHosts,
+	}
+	isUnchanged := input.configuration == h.ownership.configuration && maps.EqualFunc(liveHosts, h.ownership.liveHosts, slices.Equal)
+	if input.configuration == nil || isUnchanged {
+		return
+	}
+	h.ownership = input
+	ownership := quota.Ownership{
+		Self: h.settings().Host,
+	}
+	if h.roster.Targets(h.record(), false).HasRelays {
+		ownership.Owners = make(map[string]map[string][]string)
+		for _, t := range input.configuration.Teams {
+			ownership.Owners[t.Name] = quota.SelectOwners(t, liveHosts)
+		}
+	}
+	h.limiter.SetOwnership(ownership)
+}
+
 // quotaReports returns what every other host that may be running last reported about the
 // teams. Hosts that have not been heard from recently give an empty report, so that they
 // still count.
@@ -46,6 +80,7 @@
 	for _, peer := range h.roster.RecentPeers() {
 		_, isLive := live[peer.Name]
 		reports = append(reports, quota.Report{
+			Host:   peer.Name,
 			Demand: peer.TeamDemand,
 			Shares: peer.TeamShares,
 			Live:   isLive,
@@ -101,12 +136,27 @@
 			return share
 		}
 	}
+	if share, isSet := h.regionSummaries()[h.settings().Region].RemoteShares[service]; isSet {
+		return share
+	}
 	return placement.InitialRemoteShare(h.settings().Region, slots)
 }
 
+// regionSummaries returns what relays report of the regions. It is empty in a fleet without
+// relays, and on a host that is a relay itself it holds the other regions only, because such a
+// host gets the heartbeats of its own region.
+func (h *host) regionSummaries() map[string]membership.RegionSummary {
+	summaries := h.roster.Regions()
+	if h.peerMessenger.isRelay.Load() {
+		delete(summaries, h.settings().Region)
+	}
+	return summaries
+}
+
 // utilizationByRegion returns the utilization of each service in each region, as the mean
 // of what the region's live hosts measure.
 func (h *host) utilizationByRegion() map[string]placement.RegionUtilization {
+	summaries := h.regionSummaries()
 	sums := make(map[string]placement.RegionUtilization)
 	counts := make(map[string]map[string]float64)
 	add := func(region string, measured map[string]float64) {
@@ -119,9 +169,16 @@
 			counts[service][region]++
 		}
 	}
-	add(h.settings().Region, h.pool.Utilization())
+	if _, isSummarized := summaries[h.settings().Region]; !isSummarized {
+		add(h.settings().Region, h.pool.Utilization())
+	}
 	for _, peer := range h.roster.LivePeers() {
-		add(peer.Region, peer.Utilization)
+		if _, isSummarized := summaries[peer.Region]; !isSummarized {
+			add(peer.Region, peer.Utilization)
+		}
+	}
+	for region, summary := range summaries {
+		add(region, summary.Utilization)
 	}
 	for service, regions := range sums {
 		for region := range regions {
@@ -134,14 +191,7 @@
 // routeLoads returns the load that the callers of this region put on each service of each
 // route.
 func (h *host) routeLoads() []placement.RouteLoad {
-	rates := h.handler.RouteDemand()
-	for _, peer := range h.roster.LivePeers() {
-		if peer.Region == h.settings().Region {
-			for route, rate := range peer.RouteDemand {
-				rates[route] += rate
-			}
-		}
-	}
+	rates := h.regionDemand()
 	cachedSlotTimes := h.cachedSlotTimes()
 	var loads []placement.RouteLoad
 	for _, r := range h.handler.Configuration().Routes {
@@ -162,19 +212,41 @@
 	return loads
 }
 
+// regionDemand returns the rate of the requests of this region's callers by route.
+func (h *host) regionDemand() map[string]float64 {
+	if summary, isSummarized := h.regionSummaries()[h.settings().Region]; isSummarized {
+		return maps.Clone(summary.RouteDemand)
+	}
+	rates := h.handler.RouteDemand()
+	for _, peer := range h.roster.LivePeers() {
+		if peer.Region == h.settings().Region {
+			for route, rate := range peer.RouteDemand {
+				rates[route] += rate
+			}
+		}
+	}
+	return rates
+}
+
 // cachedSlotTimes returns, by route, how long a request occupies a slot if the server has its
 // affinity key cached. It takes the lowest value that any host measures: in an overloaded
 // region no request finds its affinity key cached, so the hosts of that region overestimate
 // it.
 func (h *host) cachedSlotTimes() map[string]time.Duration {
 	cachedSlotTimes := h.pool.CachedSlotTimes()
-	for _, peer := range h.roster.LivePeers() {
-		for route, slotTime := range peer.CachedSlotTimes {
+	add := func(measured map[string]time.Duration) {
+		for route, slotTime := range measured {
 			if known, isKnown := cachedSlotTimes[route]; !isKnown || slotTime < known {
 				cachedSlotTimes[route] = slotTime
 			}
 		}
 	}
+	for _, peer := range h.roster.LivePeers() {
+		add(peer.CachedSlotTimes)
+	}
+	for _, summary := range h.regionSummaries() {
+		add(summary.CachedSlotTimes)
+	}
 	return cachedSlotTimes
 }
 
--- /dev/null
+++ b/membership/digest.go
@@ -0,0 +1,107 @@
+package membership
+
+import (
+	"time"
+
+	"trefoilline.example/trefoilline/crashdetect"
+	"trefoilline.example/trefoilline/objectstore"
+	"trefoilline.example/trefoilline/placement"
+	"trefoilline.example/trefoilline/quota"
+)
+
+// HostState is the part of a host's heartbeat that relays pass on when it changes.
+type HostState struct {
+	HostRecord
+	Incarnation uint64 `json:"incarnation"`
+	// Sequence is that of the heartbeat from which the state was taken.
+	Sequence uint64 `json:"sequence"`
+	Ready    bool   `json:"ready,omitempty"`
+	Draining bool   `json:"leaving,omitempty"`
+	// Gone is true if the relay does not count the host as live any more. Only the name
+	// is set then.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// isSameExceptSequence reports whether two states differ in their sequence at most.
+func (s HostState) isSameExceptSequence(other HostState) bool {
+	s.Sequence = other.Sequence
+	return s == other
+}
+
+// HostQuota is what a host reports of the teams whose rates it owns a part of.
+type HostQuota struct {
+	Name   string       `json:"name"`
+	Demand quota.Demand `json:"asked,omitempty"`
+	Shares quota.Shares `json:"parts,omitempty"`
+}
+
+// RegionSummary combines what the live hosts of a region measure. The fields are those of
+// [Heartbeat] with the same names.
+type RegionSummary struct {
+	Region string `json:"region"`
+	// RouteDemand is the sum over the hosts.
+	RouteDemand map[string]float64 `json:"demand,omitempty"`
+	// CachedSlotTimes is the lowest value of any host.
+	CachedSlotTimes map[string]time.Duration `json:"works,omitempty"`
+	// Utilization is the mean of the hosts.
+	Utilization map[string]float64 `json:"crowding,omitempty"`
+	// RemoteShares is that of any host.
+	RemoteShares placement.RemoteShares `json:"away,omitempty"`
+}
+
+// Digest is what a relay tells another host about many hosts. A relay sends the hosts of its
+// own region to the relays of other regions, and all hosts that it knows to the hosts of its
+// own region.
+type Digest struct {
+	// Relay is the record of the sender.
+	Relay       HostRecord `json:"relay"`
+	Incarnation uint64     `json:"incarnation"`
+	// Sequence grows with each digest of an incarnation.
+	Sequence uint64 `json:"sequence"`
+	// Hosts holds what changed from version Base to Version of the relay's list of live
+	// hosts. If Base is zero, it holds the whole list.
+	Base    uint64      `json:"base"`
+	Version uint64      `json:"version"`
+	Hosts   []HostState `json:"hosts,omitempty"`
+	// Quotas holds the reports that the receiver needs to divide the rates of teams.
+	Quotas  []HostQuota     `json:"quotas,omitempty"`
+	Regions []RegionSummary `json:"regions,omitempty"`
+	// StoreVersions and CrashReports are those of the relay's own heartbeat.
+	StoreVersions map[string]objectstore.Version `json:"known,omitempty"`
+	CrashReports  []crashdetect.Report           `json:"losses,omitempty"`
+	// RoundTrip is the shortest round-trip time from the relay to another region; zero if
+	// it knows none.
+	RoundTrip time.Duration `json:"round-trip,omitempty"`
+}
+
+// Summarize combines what the hosts of a region report.
+func Summarize(region string, hosts []Heartbeat) RegionSummary {
+	summary := RegionSummary{
+		Region:          region,
+		RouteDemand:     make(map[string]float64),
+		CachedSlotTimes: make(map[string]time.Duration),
+		Utilization:     make(map[string]float64),
+	}
+	reports := make(map[string]float64)
+	for _, hb := range hosts {
+		for route, rate := range hb.RouteDemand {
+			summary.RouteDemand[route] += rate
+		}
+		for route, slotTime := range hb.CachedSlotTimes {
+			if known, isKnown := summary.CachedSlotTimes[route]; !isKnown || slotTime < known {
+				summary.CachedSlotTimes[route] = slotTime
+			}
+		}
+		for service, utilization := range hb.Utilization {
+			summary.Utilization[service] += utilization
+			reports[service]++
+		}
+		if summary.RemoteShares == nil {
+			summary.RemoteShares = hb.RemoteShares
+		}
+	}
+	for service := range summary.Utilization {
+		summary.Utilization[service] /= reports[service]
+	}
+	return summary
+}
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -74,13 +74,13 @@
 	r.SetRecords([]membership.HostRecord{record(0, "accra"), record(1, "accra"), record(2, "accra")})
 	r.Receive(heartbeat(1, 1, 1))
 	r.Receive(heartbeat(3, 1, 1))
-	require.ElementsMatch(t, []membership.HostRecord{record(1, "accra"), record(2, "accra"), record(3, "accra")}, r.HeartbeatTargets())
+	require.ElementsMatch(t, []membership.HostRecord{record(1, "accra"), record(2, "accra"), record(3, "accra")}, r.Targets(record(0, "accra"), false).Heartbeats)
 	silent := r.SilentPeers()
 	require.Len(t, silent, 1)
 	require.Equal(t, "host-2", silent[0].Name)
 	now = now.Add(membership.RetentionTime + time.Second)
 	require.Len(t, r.SilentPeers(), 2)
-	require.Len(t, r.HeartbeatTargets(), 2)
+	require.Len(t, r.Targets(record(0, "accra"), false).Heartbeats, 2)
 }
 
 func TestRoundTripIsShortestToAnotherRegion(t *testing.T) {
--- a/quota/lend.go
+++ b/quota/lend.go
@@ -1,16 +1,59 @@
 package quota
 
+import "time"
+
 // LendToken takes one token from this host's bucket for a request that another host has
-// received. It returns false if there is none. Since a token only changes hosts, lending
-// does not raise the total rate.
+// received. If there is none, it returns false and the time until the next one. Since a token
+// only changes hosts, lending does not raise the total rate. The request counts as demand of
+// this host if countDemand is true; a host that asks several others sets it for the first.
 //
 // Lending is for teams whose rate is small for the number of hosts: each host's share is
 // less than one request per second, and requests often arrive at a host without a token.
-func (l *Limiter) LendToken(team string) bool {
+func (l *Limiter) LendToken(team string, countDemand bool) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state, known := l.teams[team]
-	return known && l.hasShares && state.team.Rate > 0 && state.bucket.TakeToken(l.now())
+	if !known || !l.hasShares || state.team.Rate <= 0 {
+		return 0, false
+	}
+	now := l.now()
+	if countDemand {
+		state.demand.Add(now)
+	}
+	if state.bucket.TakeToken(now) {
+		return 0, true
+	}
+	return state.bucket.TimeUntilToken(now), false
+}
+
+// maxBorrowPause is the longest time for which no other host is asked for a token of a team
+// after the hosts that were asked had none.
+const maxBorrowPause = 200 * time.Millisecond
+
+// RecordRefusal records that the hosts that were asked for a token of the team had none, and
+// the shortest time after which one of them expects to have one. Until then, though for
+// [maxBorrowPause] at most, no host is asked again.
+func (l *Limiter) RecordRefusal(team string, wait time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if state, known := l.teams[team]; known {
+		state.borrowAfter = l.now().Add(min(wait, maxBorrowPause))
+	}
+}
+
+// IsOwner reports whether this host has a share of the team's rate.
+func (l *Limiter) IsOwner(team string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ownership.isOwner(team, l.ownership.Self)
+}
+
+// OwnersIn returns the names of the hosts of a region that have a share of the team's rate. It
+// returns false if all hosts have one.
+func (l *Limiter) OwnersIn(region, team string) ([]string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ownership.Owners[team][region], l.ownership.Owners != nil
 }
 
 // maxBorrowDemand is the highest demand over all hosts, as a multiple of the team's rate,
@@ -20,14 +63,18 @@
 
 // ShouldBorrow reports whether it is worth asking other hosts for a token of the team. It
 // returns false for a team whose demand is far above its rate, so that its requests are
-// rejected at once without a call to other hosts.
+// rejected at once without a call to other hosts, and after [Limiter.RecordRefusal]. A host
+// that owns no part of the rate does not know the demand, and asks.
 func (l *Limiter) ShouldBorrow(team string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state, known := l.teams[team]
-	if !known || state.team.Rate <= 0 {
+	if !known || state.team.Rate <= 0 || l.now().Before(state.borrowAfter) {
 		return false
 	}
+	if !l.ownership.isOwner(team, l.ownership.Self) {
+		return true
+	}
 	demand := state.demand.PerSecond(l.now())
 	for _, r := range l.reports {
 		if r.Live {
--- a/quota/lend_test.go
+++ b/quota/lend_test.go
@@ -60,17 +60,17 @@
 	f.run(rand.New(rand.NewPCG(1, 2)), 5*time.Second, spreadEvenly(2, 0))
 	lender := f.limiters[0]
 	lent := 0
-	for lent < manyHosts && lender.LendToken(smallTeam.Name) {
+	for lent < manyHosts && canLend(lender, smallTeam.Name) {
 		lent++
 	}
 	require.Positive(t, lent)
 	require.Less(t, lent, manyHosts, "a host must not lend more tokens than it has")
 	_, ok := lender.TakeToken(smallTeam.Name)
 	require.False(t, ok, "lent tokens must be gone")
-	require.False(t, lender.LendToken("unknown"))
+	require.False(t, canLend(lender, "unknown"))
 	withoutShares := &quota.Limiter{}
 	withoutShares.SetTeams([]routing.Team{smallTeam})
-	require.False(t, withoutShares.LendToken(smallTeam.Name))
+	require.False(t, canLend(withoutShares, smallTeam.Name))
 	require.False(t, withoutShares.ShouldBorrow("unknown"))
 }
 
@@ -87,3 +87,10 @@
 		require.Equal(t, shouldBorrow, f.limiters[0].ShouldBorrow(smallTeam.Name), "demand of %v requests per second", demand)
 	}
 }
+
+// canLend reports whether a host lends a token of the team. The request does not count as
+// demand of the lender.
+func canLend(lender *quota.Limiter, team string) bool {
+	_, ok := lender.LendToken(team, false)
+	return ok
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -5,8 +5,9 @@
 one from another host.
 
 Every host enforces a share of each team's rate. Hosts report the demand that they
-see to each other, and each takes the share that its own demand has in the total. The
-shares follow callers that move from host to host. The limit also holds for a team that
+see to each other, and each takes the share that its own demand has in the total. If there
+are many hosts, only a few of them, the owners, have a share of a team's rate, and the others
+borrow every token (see [Ownership]). The shares follow callers that move from host to host. The limit also holds for a team that
 sends many times its rate, when a rate is lowered under load, and when hosts fail, restart
 or lose contact with the others.
 
@@ -32,6 +33,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -50,6 +52,8 @@
 // Report is the last report of another host. The zero value stands for a host that has
 // not reported yet.
 type Report struct {
+	// Host is the name of the host.
+	Host   string
 	Demand Demand
 	Shares Shares
 	// Live is true while the host's reports arrive. A host whose reports stop may
@@ -85,8 +89,9 @@
 	// Clock returns the current time; [time.Now] if nil.
 	Clock func() time.Time
 
-	mu    sync.Mutex
-	teams map[string]*teamState
+	mu        sync.Mutex
+	teams     map[string]*teamState
+	ownership Ownership
 	// reports holds the last reports of the other hosts.
 	reports []Report
 	// hasShares is true once reports has been set. Before that, no request of a team
@@ -103,6 +108,8 @@
 	share float64
 	// hasInitialTokens is true once the bucket has got its first tokens.
 	hasInitialTokens bool
+	// borrowAfter is the time until which other hosts have no tokens either.
+	borrowAfter time.Time
 }
 
 // SetOvershoot sets OvershootFraction and OvershootRequests. They take effect at the next
@@ -130,20 +137,26 @@
 					TimeConstant: demandTimeConstant,
 				},
 			}
-			if l.hasShares {
-				state.share = computeShare(t.Rate, 0, t.Name, l.reports)
-			}
 		}
+		isNewlyLimited := state.team.Rate <= 0 && t.Rate > 0
 		state.team = t
+		if isNewlyLimited && l.hasShares {
+			state.share = l.computeShare(state, now)
+		}
 		l.updateBucket(state, now)
 		l.teams[t.Name] = state
 	}
 }
 
-// updateBucket sets the rate and the burst of a team's bucket from this host's share.
+// updateBucket sets the rate and the burst of a team's bucket from this host's share. On a
+// host that owns no part of the rate, the bucket is always empty.
 func (l *Limiter) updateBucket(state *teamState, now time.Time) {
+	if !l.ownership.isOwner(state.team.Name, l.ownership.Self) {
+		state.bucket.SetRate(now, 0, 0)
+		return
+	}
 	overshootFactor := 1 + usedOvershoot*l.OvershootFraction
-	extraBurst := usedOvershoot * l.OvershootRequests / float64(len(l.reports)+1)
+	extraBurst := usedOvershoot * l.OvershootRequests / l.ownership.count(state.team.Name, len(l.reports)+1)
 	state.bucket.SetRate(now, overshootFactor*state.team.Rate*state.share, max(overshootFactor*state.team.Burst*state.share+extraBurst, minBurst))
 	if l.hasShares && !state.hasInitialTokens {
 		// A bucket starts without the burst of its team. It gets only this host's part
@@ -189,16 +202,17 @@
 }
 
 // Demand returns the rates of the requests that this host receives, for its report to
-// the other hosts. It leaves out teams without a rate and teams with hardly any
-// requests.
+// the other hosts. It leaves out teams without a rate, teams of whose rate this host owns no
+// part, and teams with hardly any requests.
 func (l *Limiter) Demand() Demand {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
 	demand := make(Demand)
 	for name, state := range l.teams {
-		if rate := state.demand.PerSecond(now); state.team.Rate > 0 && rate >= minReportedDemand {
-			demand[name] = rate
+		isReported := state.team.Rate > 0 && l.ownership.isOwner(name, l.ownership.Self)
+		if rate := state.demand.PerSecond(now); isReported && rate >= minReportedDemand {
+			demand[name] = roundDigits(rate)
 		}
 	}
 	return demand
@@ -208,15 +222,26 @@
 // team out.
 const minReportedDemand = 0.05
 
+// roundDigits rounds a value to three significant digits, which keeps reports short.
+func roundDigits(value float64) float64 {
+	const digits = 3
+	if value == 0 {
+		return 0
+	}
+	scale := math.Pow(10, digits-1-math.Floor(math.Log10(math.Abs(value))))
+	return math.Round(value*scale) / scale
+}
+
 // Shares returns this host's shares of the rates, for its report to the other hosts. It
-// leaves out teams without a rate.
+// leaves out teams without a rate, and those of whose rate this host neither owns a part nor
+// still holds one.
 func (l *Limiter) Shares() Shares {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	shares := make(Shares, len(l.teams))
 	for name, state := range l.teams {
-		if state.team.Rate > 0 {
-			shares[name] = state.share
+		if state.team.Rate > 0 && (state.share > 0 || l.ownership.isOwner(name, l.ownership.Self)) {
+			shares[name] = roundDigits(state.share)
 		}
 	}
 	return shares
@@ -229,33 +254,38 @@
 	defer l.mu.Unlock()
 	l.reports, l.hasShares = others, true
 	now := l.now()
-	for name, state := range l.teams {
-		state.share = computeShare(state.team.Rate, state.demand.PerSecond(now), name, others)
+	for _, state := range l.teams {
+		state.share = l.computeShare(state, now)
 		l.updateBucket(state, now)
 	}
 }
 
 // computeShare returns this host's fraction of a team's rate, from its own demand and the
-// reports of the other hosts. Hosts that are not live keep the share that they last
-// reported, or 1/hosts if they never reported one for the team. The live hosts divide
-// the rest in proportion to their demand, each with its part of the baseline demand added.
-func computeShare(rate, ownDemand float64, team string, others []Report) float64 {
+// reports of the other hosts. Hosts that are not live, or that are no owners any more, keep
+// the share that they last reported; hosts that are not live and never reported one keep
+// 1/hosts. The live owners divide the rest in proportion to their demand, each with its part
+// of the baseline demand added.
+func (l *Limiter) computeShare(state *teamState, now time.Time) float64 {
+	team, rate := state.team.Name, state.team.Rate
 	if rate <= 0 {
 		return 1
 	}
-	hosts := float64(len(others) + 1)
-	baseline := baselineDemandFraction * rate / hosts
-	own := ownDemand + baseline
+	if !l.ownership.isOwner(team, l.ownership.Self) {
+		return 0
+	}
+	hosts := len(l.reports) + 1
+	baseline := baselineDemandFraction * rate / l.ownership.count(team, hosts)
+	own := state.demand.PerSecond(now) + baseline
 	total, available := own, 1.0
-	for _, r := range others {
+	for _, r := range l.reports {
 		reportedShare, isKnown := r.Shares[team]
 		switch {
-		case r.Live:
+		case r.Live && l.ownership.isOwner(team, r.Host):
 			total += r.Demand[team] + baseline
 		case isKnown:
 			available -= reportedShare
-		default:
-			available -= 1 / hosts
+		case !r.Live:
+			available -= 1 / float64(hosts)
 		}
 	}
 	return max(0, available) * own / total
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -107,7 +107,7 @@
 	}
 	index := slices.Index(f.limiters, l)
 	for n := range f.lenders {
-		if f.limiters[(index+1+n)%len(f.limiters)].LendToken(f.team.Name) {
+		if canLend(f.limiters[(index+1+n)%len(f.limiters)], f.team.Name) {
 			return true
 		}
 	}
