Read the store through one host per region from the first second on

Cause: at the first start each host listed and watched all four prefixes itself, since it knew no other host yet, and wrote its record with two calls; a host that lacked a change, or whose reader did not respond, read the store itself for 5 s. So calls grew with the hosts at the start and in trouble. And the share of a team's rate followed an average of 0.7 s of demand, which for a team of a few requests per second is one request.

Ruled out: lists that may be stale at a tenth of the price for configuration and evacuations (a host could act on an old one if the store went away right after it).

Change: when the whole fleet starts for the first time, hosts exchange heartbeats for 1.5 s before they ask anyone, and ask the reader again for 3 s. The record is created with one call, and not written again after a restart. A host that lags asks its reader again, then copies from the host that knows more. When a reader does not respond, the next one in the ranking is used, and the store only if that one does not respond either. The demand is averaged over the time of 14 requests, 0.7 to 5 s, and each region has one owner of a small rate.

Limits hold at 118 hosts with cuts, restarts and 7.5 times the rate.

--- a/internal/host/followers.go
+++ b/internal/host/followers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/url"
 	"time"
@@ -108,7 +109,8 @@
 			}
 			follower.ReplaceIfNewer(copied)
 		case objectstore.RefreshFromStore:
-			h.sources[prefix].startDirectReads()
+			// A host that reads from a reader asks that again. If the reader lacks the
+			// change too, the next action is a copy from the peer.
 			follower.Refresh()
 		case objectstore.UpToDate, objectstore.KeepWaiting:
 		}
@@ -188,6 +190,7 @@
 // applyHosts gives the records of all hosts to the roster. It is always urgent.
 func (h *host) applyHosts(objects map[string]objectstore.Object) (isUrgent bool) {
 	var records []membership.HostRecord
+	var own membership.HostRecord
 	for _, o := range objects {
 		var record membership.HostRecord
 		if err := json.Unmarshal(o.Value, &record); err != nil || !record.PeerAddress.IsValid() {
@@ -195,7 +198,11 @@
 			continue
 		}
 		records = append(records, record)
+		if record.Name == h.settings().Host {
+			own = record
+		}
 	}
+	h.storedRecord.Store(&own)
 	h.roster.SetRecords(records)
 	h.hostsLoaded.Store(true)
 	return true
@@ -204,20 +211,55 @@
 // recordRetryDelay is the time between two attempts to write this host's record.
 const recordRetryDelay = time.Second
 
-// writeRecord writes this host's record to the store, and tries again until it succeeds
-// or the host drains.
+// recordCheckInterval is the time between two checks that the store still has this host's
+// record.
+const recordCheckInterval = 10 * time.Second
+
+// writeRecord writes this host's record to the store unless the store has it already, from
+// before a restart, and does so again if the record is gone. It ends when the host drains.
 func (h *host) writeRecord(ctx context.Context) {
 	value, err := json.Marshal(h.record())
 	if err != nil {
 		h.log.Write(observe.HostRecordWriteFailed, zap.Error(err))
 		return
 	}
+	h.awaitHostsLoaded(ctx)
 	for ctx.Err() == nil && !h.draining.Load() {
-		_, err := h.store.Put(ctx, hostRecordPrefix+h.settings().Host, value, objectstore.Always{})
-		if err == nil {
-			return
+		delay := recordCheckInterval
+		if stored := h.storedRecord.Load(); stored == nil || *stored != h.record() {
+			if err := h.createOrReplace(ctx, hostRecordPrefix+h.settings().Host, value); err != nil {
+				h.log.Write(observe.HostRecordWriteFailed, zap.Error(err))
+				delay = recordRetryDelay
+			}
 		}
-		h.log.Write(observe.HostRecordWriteFailed, zap.Error(err))
-		sleep(ctx, recordRetryDelay)
+		sleep(ctx, delay)
+	}
+}
+
+// createOrReplace writes an object. At the first start of the fleet it is created, as there can
+// be none yet; otherwise, and if there is one nevertheless, it is replaced.
+func (h *host) createOrReplace(ctx context.Context, key string, value []byte) error {
+	if h.settings().FirstStart {
+		_, err := h.store.Put(ctx, key, value, objectstore.IfAbsent{})
+		var conflict *objectstore.ConflictError
+		if !errors.As(err, &conflict) {
+			return err
+		}
+	}
+	_, err := h.store.Put(ctx, key, value, objectstore.Always{})
+	return err
+}
+
+// awaitHostsLoaded waits until the records of all hosts are known, but at most for
+// [recordWaitTime], since hosts may find each other only through this one's record.
+func (h *host) awaitHostsLoaded(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recordWaitTime)
+	defer cancel()
+	for ctx.Err() == nil && !h.hostsLoaded.Load() {
+		sleep(ctx, recordWaitTime/20)
 	}
 }
+
+// recordWaitTime is how long a host waits for the records of the others before it writes its
+// own.
+const recordWaitTime = 2 * time.Second
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -54,6 +54,7 @@
 	// incarnation tells this run of the host apart from earlier ones. It is the start
 	// time in nanoseconds.
 	incarnation uint64
+	startedAt   time.Time
 	log         observe.Log
 	// logLevel is the lowest level that is logged. It may be nil.
 	logLevel *zap.AtomicLevel
@@ -76,8 +77,11 @@
 	// are known.
 	serversLoaded atomic.Bool
 	hostsLoaded   atomic.Bool
-	crashReports  crashReportQueue
-	invalid       invalidObjects
+	// storedRecord is this host's record in the store as last read; its name is empty if
+	// there is none.
+	storedRecord atomic.Pointer[membership.HostRecord]
+	crashReports crashReportQueue
+	invalid      invalidObjects
 	// remoteShares holds the fraction of this region's load that other regions serve, by
 	// service. It is nil until it is first computed.
 	remoteShares atomic.Pointer[placement.RemoteShares]
@@ -105,6 +109,7 @@
 	var h *host
 	h = &host{
 		incarnation: uint64(time.Now().UnixNano()),
+		startedAt:   time.Now(),
 		log:         log,
 		store: &platform.StoreClient{
 			Address: func() netip.AddrPort { return h.settings().StoreAddress },
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -50,21 +51,29 @@
 	directUntil time.Time
 	// lastReadFromStore is true if the last call went to the store, not to the reader.
 	lastReadFromStore bool
+	// failedReader is the name of a reader that did not respond, which is not selected
+	// until failedUntil.
+	failedReader string
+	failedUntil  time.Time
 }
 
 var _ objectstore.SnapshotWatcher = (*readerOrStoreSource)(nil)
 
-// selectReader returns the address of the reader and true, or false if this host is to read
-// the store itself. It records this choice in lastReadFromStore.
-func (s *readerOrStoreSource) selectReader() (netip.AddrPort, bool) {
+// selectReader returns the reader and true, or false if this host is to read the store
+// itself. It records this choice in lastReadFromStore.
+func (s *readerOrStoreSource) selectReader() (membership.HostRecord, bool) {
 	self := s.host.settings().Host
 	live := s.host.roster.LivePeers()
-	reader, isOther := membership.SelectStoreReader(s.prefix, s.host.settings().Region, self, live)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	useReader := isOther && time.Now().After(s.directUntil)
+	now := time.Now()
+	if now.Before(s.failedUntil) {
+		live = slices.DeleteFunc(live, func(hb membership.Heartbeat) bool { return hb.Name == s.failedReader })
+	}
+	reader, isOther := membership.SelectStoreReader(s.prefix, s.host.settings().Region, self, live)
+	useReader := isOther && now.After(s.directUntil)
 	s.lastReadFromStore = !useReader
-	return reader.PeerAddress, useReader
+	return reader, useReader
 }
 
 // startDirectReads makes this host read the store itself for [directReadTime]. If it
@@ -114,15 +123,16 @@
 
 // Snapshot implements [objectstore.SnapshotWatcher].
 func (s *readerOrStoreSource) Snapshot(ctx context.Context, prefix string) (objectstore.VersionedObjects, error) {
+	s.host.awaitFirstPeers(ctx)
 	if reader, useReader := s.selectReader(); useReader {
-		changes, err := s.host.peerMessenger.fetchObjects(ctx, reader, url.Values{
+		changes, err := s.host.peerMessenger.fetchObjects(ctx, reader.PeerAddress, url.Values{
 			"prefix": {prefix},
 			"fresh":  {"true"},
 		}, 0)
-		if err == nil || ctx.Err() != nil {
+		if err == nil || ctx.Err() != nil || s.host.isFirstStart() {
 			return changes, err
 		}
-		s.fallBackToStore(reader, err)
+		s.handleReaderFailure(ctx, reader, err)
 	}
 	return s.host.store.Snapshot(ctx, prefix)
 }
@@ -133,14 +143,14 @@
 	if !useReader {
 		return s.host.store.Watch(ctx, prefix, after, wait)
 	}
-	changes, err := s.host.peerMessenger.fetchObjects(ctx, reader, url.Values{
+	changes, err := s.host.peerMessenger.fetchObjects(ctx, reader.PeerAddress, url.Values{
 		"prefix": {prefix},
 		"after":  {strconv.FormatUint(uint64(after), 10)},
 		"wait":   {wait.String()},
 	}, wait)
 	var historyGone *objectstore.HistoryGoneError
 	if err != nil && ctx.Err() == nil && !errors.As(err, &historyGone) {
-		s.fallBackToStore(reader, err)
+		s.handleReaderFailure(ctx, reader, err)
 		return objectstore.VersionedObjects{
 			Next: after,
 		}, nil
@@ -148,10 +158,43 @@
 	return changes, err
 }
 
-// fallBackToStore makes this host read the store itself because the reader did not respond.
-func (s *readerOrStoreSource) fallBackToStore(reader netip.AddrPort, err error) {
-	s.startDirectReads()
-	s.host.log.Write(observe.StoreReaderUnavailable, zap.String("prefix", s.prefix), zap.String("reader", reader.String()), zap.Error(err))
+// nextReaderDelay is how long this host waits before it asks the next reader, which must notice
+// too that the first one is gone.
+const nextReaderDelay = 200 * time.Millisecond
+
+// handleReaderFailure makes this host use the next reader of the region because the reader did
+// not respond, or read the store itself if that is the second failure in a short time.
+func (s *readerOrStoreSource) handleReaderFailure(ctx context.Context, reader membership.HostRecord, err error) {
+	s.host.log.Write(observe.StoreReaderUnavailable, zap.String("prefix", s.prefix), zap.String("reader", reader.PeerAddress.String()), zap.Error(err))
+	s.mu.Lock()
+	isSecond := time.Now().Before(s.failedUntil)
+	if !isSecond {
+		s.failedReader, s.failedUntil = reader.Name, time.Now().Add(directReadTime)
+	}
+	s.mu.Unlock()
+	if isSecond {
+		s.startDirectReads()
+		return
+	}
+	sleep(ctx, nextReaderDelay)
+}
+
+// firstStartTime is how long all hosts may take to start and find each other when the whole
+// fleet starts for the first time.
+const firstStartTime = 3 * time.Second
+
+// isFirstStart reports whether this host started a short time ago, together with the whole
+// fleet. While it did, it asks the reader again rather than the store.
+func (h *host) isFirstStart() bool {
+	return h.settings().FirstStart && time.Since(h.startedAt) < firstStartTime
+}
+
+// awaitFirstPeers waits, when the whole fleet starts for the first time, until the hosts have
+// exchanged heartbeats. Otherwise each would read all objects from the store.
+func (h *host) awaitFirstPeers(ctx context.Context) {
+	if h.settings().FirstStart && len(h.settings().Seeds) > 1 {
+		sleep(ctx, time.Until(h.startedAt.Add(firstStartTime/2)))
+	}
 }
 
 // handleCopyRequest answers another host that asks for the objects of a prefix: with all
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -38,6 +38,9 @@
 	// Seeds are the peer addresses of a few hosts. This host sends heartbeats to them
 	// while it knows no other host.
 	Seeds []netip.AddrPort `json:"seeds"`
+	// FirstStart is true if the whole fleet starts for the first time, so that no host has
+	// read the store yet.
+	FirstStart bool `json:"first-start"`
 	// StoreAddress is the address of the platform's store.
 	StoreAddress netip.AddrPort `json:"store"`
 	// MaxLookupTTLSeconds is the longest time for which callers may use a lookup
--- a/quota/owners.go
+++ b/quota/owners.go
@@ -13,20 +13,17 @@
 // The rate of a team is divided among its owners. A rate that is divided among too many hosts
 // leaves each with less than one request per second, so that requests rarely arrive at a host
 // that has a token, and the hosts' smallest bursts add up to more than the team may send.
-const (
-	// minOwnersPerRegion is the least number of owners in a region. With two of them, the
-	// loss of a host leaves one.
-	minOwnersPerRegion = 2
-	// ratePerOwner is the rate, in requests per second, for which there is one more owner.
-	ratePerOwner = 8
-)
+//
+// ratePerOwner is the rate, in requests per second, for which there is one more owner. Each
+// region has at least one.
+const ratePerOwner = 8
 
 // SelectOwners returns the names of the hosts that divide a team's rate, by region, given the
 // live hosts by region. All hosts that know the same live hosts select the same ones, and a
 // host that joins or leaves changes only its own place.
 func SelectOwners(team routing.Team, hosts map[string][]string) map[string][]string {
 	owners := make(map[string][]string, len(hosts))
-	perRegion := max(minOwnersPerRegion, int(math.Ceil(team.Rate/ratePerOwner/float64(max(len(hosts), 1)))))
+	perRegion := max(1, int(math.Ceil(team.Rate/ratePerOwner/float64(max(len(hosts), 1)))))
 	for region, names := range hosts {
 		owners[region] = highestRanked(team.Name, names, perRegion)
 	}
--- /dev/null
+++ b/quota/owners_test.go
@@ -0,0 +1,152 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/quota"
+	"trefoilline.example/trefoilline/routing"
+)
+
+// regionCount is the number of regions over which the hosts of a fleet with owners are spread.
+const regionCount = 3
+
+func hostName(n int) string { return fmt.Sprint("host-", n) }
+
+func regionOf(n int) string { return fmt.Sprint("region-", n%regionCount) }
+
+// ownership returns the owners of the rate as a host sees them, which knows the hosts that are
+// not isolated from it.
+func (f *fleet) ownership(index int) quota.Ownership {
+	live := make(map[string][]string)
+	for n := range f.limiters {
+		if n == index || !f.isolated[n] && !f.isolated[index] {
+			live[regionOf(n)] = append(live[regionOf(n)], hostName(n))
+		}
+	}
+	return quota.Ownership{
+		Self: hostName(index),
+		Owners: map[string]map[string][]string{
+			f.team.Name: quota.SelectOwners(f.team, live),
+		},
+	}
+}
+
+// borrowFromOwners asks the owners of a host's region for a token.
+func (f *fleet) borrowFromOwners(index int) bool {
+	borrower := f.limiters[index]
+	owners, _ := borrower.OwnersIn(regionOf(index), f.team.Name)
+	first := true
+	for n, lender := range f.limiters {
+		for _, owner := range owners {
+			if owner != hostName(n) || n == index || f.isolated[n] || f.isolated[index] {
+				continue
+			}
+			if _, ok := lender.LendToken(f.team.Name, first && !borrower.IsOwner(f.team.Name)); ok {
+				return true
+			}
+			first = false
+		}
+	}
+	borrower.RecordRefusal(f.team.Name, 0)
+	return false
+}
+
+func newFleetWithOwners(hosts int, team routing.Team) *fleet {
+	f := newFleet(hosts, team)
+	f.hasOwners, f.lenders = true, 1
+	f.exchangeReports()
+	return f
+}
+
+// maxWrongRejections is the largest fraction of the requests of a team within its rate that may
+// be rejected.
+const maxWrongRejections = 0.01
+
+// requireAccepted sends a team five eighths of its rate, evenly to all hosts.
+func requireAccepted(t *testing.T, hosts int, rate float64) {
+	t.Helper()
+	f := newFleetWithOwners(hosts, routing.Team{
+		Name:  "north",
+		Rate:  rate,
+		Burst: rate,
+	})
+	random := rand.New(rand.NewPCG(1, uint64(hosts)))
+	demand := spreadEvenly(hosts, 0.625*rate)
+	f.run(random, 5*time.Second, demand)
+	f.rejected, f.accepted = 0, nil
+	f.run(random, time.Minute, demand)
+	rejectedFraction := float64(f.rejected) / float64(f.rejected+len(f.accepted))
+	t.Logf("%d hosts, %.0f requests/s: %.4f of %d", hosts, rate, rejectedFraction, f.rejected+len(f.accepted))
+	require.Less(t, rejectedFraction, maxWrongRejections, "%d hosts, %.0f requests/s", hosts, rate)
+}
+
+// TestTeamsAreAcceptedOnManyHosts guards against rates that are divided among so many hosts
+// that a request rarely arrives at one that has a token.
+func TestTeamsAreAcceptedOnManyHosts(t *testing.T) {
+	for _, hosts := range []int{7, 118} {
+		for _, rate := range []float64{10, 20, 100, 400} {
+			requireAccepted(t, hosts, rate)
+		}
+	}
+}
+
+// TestSmallTeamsAreAcceptedOnManyHosts is the same for teams of a few requests per second.
+func TestSmallTeamsAreAcceptedOnManyHosts(t *testing.T) {
+	for _, rate := range []float64{5, 2} {
+		requireAccepted(t, 118, rate)
+	}
+}
+
+// TestOwnersKeepTheLimit sends a team many times its rate while owners are cut off, come back
+// and restart, and after a phase in which the team saves tokens.
+func TestOwnersKeepTheLimit(t *testing.T) {
+	const hosts = 118
+	for _, rate := range []float64{2, 20, 100} {
+		for seed := range uint64(2) {
+			random := rand.New(rand.NewPCG(seed, 3))
+			f := newFleetWithOwners(hosts, routing.Team{
+				Name:  "north",
+				Rate:  rate,
+				Burst: rate,
+			})
+			low, high := spreadEvenly(hosts, rate/3), spreadEvenly(hosts, 7.5*rate)
+			for range 2 {
+				f.run(random, 5*time.Second, low)
+				f.run(random, 3*time.Second, high)
+				for n := range f.isolated {
+					f.isolated[n] = random.IntN(5) == 0
+				}
+				f.run(random, 4*time.Second, high)
+				clear(f.isolated)
+				for n := range f.limiters {
+					if random.IntN(5) == 0 {
+						f.limiters[n] = f.newLimiter()
+					}
+				}
+				f.exchangeReports()
+				f.run(random, 3*time.Second, high)
+			}
+			require.LessOrEqual(t, float64(f.maxAcceptedPerWindow(time.Time{})), f.limit(), "rate %.0f, seed %d", rate, seed)
+		}
+	}
+}
+
+// TestNewRateIsNotTakenByEachHost gives a rate to a team that had none. Each host must not take
+// the whole rate until the next reports.
+func TestNewRateIsNotTakenByEachHost(t *testing.T) {
+	const hosts = 7
+	unlimited := team
+	unlimited.Rate, unlimited.Burst = 0, 0
+	f := newFleet(hosts, unlimited)
+	random := rand.New(rand.NewPCG(1, 2))
+	f.run(random, 2*time.Second, spreadEvenly(hosts, 100))
+	f.accepted = nil
+	f.setTeam(team)
+	f.run(random, reportInterval-tick, spreadEvenly(hosts, 4000))
+	require.Less(t, float64(len(f.accepted)), 2*team.Rate)
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -66,9 +66,20 @@
 // computed. It gives a share also to hosts that have received no requests of the team lately.
 const baselineDemandFraction = 0.4
 
-// demandTimeConstant is the time constant of the moving average of the demand. It is long
-// enough that a single request does not change a host's share much.
-const demandTimeConstant = 700 * time.Millisecond
+// The time constant of the moving average of the demand is the time in which a team may send
+// demandRequests, but from minDemandTime to maxDemandTime. So a single request does not change
+// a host's share much.
+const (
+	demandRequests = 14
+	minDemandTime  = 700 * time.Millisecond
+	maxDemandTime  = 5 * time.Second
+)
+
+// demandTimeConstant returns the time constant for a team's rate.
+func demandTimeConstant(rate float64) time.Duration {
+	seconds := demandRequests / max(rate, minReportedDemand)
+	return min(max(time.Duration(seconds*float64(time.Second)), minDemandTime), maxDemandTime)
+}
 
 // usedOvershoot is the fraction of the allowed overshoot that is added to the buckets. The
 // rest is left for the error while reports are on their way.
@@ -132,12 +143,9 @@
 	for _, t := range teams {
 		state, known := before[t.Name]
 		if !known {
-			state = &teamState{
-				demand: meter.Rate{
-					TimeConstant: demandTimeConstant,
-				},
-			}
+			state = &teamState{}
 		}
+		state.demand.TimeConstant = demandTimeConstant(t.Rate)
 		isNewlyLimited := state.team.Rate <= 0 && t.Rate > 0
 		state.team = t
 		if isNewlyLimited && l.hasShares {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -33,6 +33,8 @@
 	rejected int
 	// lenders is how many other hosts a host without a token asks for one.
 	lenders int
+	// hasOwners is true if a few hosts own the rate and the others borrow each token.
+	hasOwners bool
 }
 
 const (
@@ -106,6 +108,9 @@
 		return false
 	}
 	index := slices.Index(f.limiters, l)
+	if f.hasOwners {
+		return f.borrowFromOwners(index)
+	}
 	for n := range f.lenders {
 		if canLend(f.limiters[(index+1+n)%len(f.limiters)], f.team.Name) {
 			return true
@@ -125,8 +130,12 @@
 		}
 	}
 	for i, l := range f.limiters {
+		if f.hasOwners {
+			l.SetOwnership(f.ownership(i))
+		}
 		var others []quota.Report
 		for j, report := range f.reports {
+			report.Host = hostName(j)
 			report.Live = !f.isolated[i] && !f.isolated[j]
 			if j != i {
 				others = append(others, report)
