Bound the bytes that a response may have, in its head and its body

Cause: a server may send bytes that are no answer without end. A head could take 1 MB, of 200 servers 200 MB. And at the first start a host that asked its reader too early counted that as a failure of the reader.

Ruled out: one limit for each response only (200 of them at once still take 1.6 GB); a slice that grows (twice the memory).

Change: a body of at most 8 MB is held, in pieces; what responses have beyond 128 KB each comes out of 24 MB for all; a response beyond that is dropped with ResponseTooLargeError, its connection is closed and the caller gets 502. Heads of responses, interim ones included, end at 128 KB, those of requests at 256 KB.

--- a/bufferproxy/forward.go
+++ b/bufferproxy/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -18,7 +17,7 @@
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *responseBody
 }
 
 // failure is the end of a request without a complete response.
@@ -154,7 +153,9 @@
 func (s *requestState) readResponse(o *exchange.Response, reservation *placement.Reservation, sentAt time.Time) (result, placement.Outcome) {
 	defer o.Close()
 	s.possibleRuns++
-	body, err := io.ReadAll(o)
+	body, release, err := s.handler.responseMemory.read(o, o.Length)
+	s.releaseResponse()
+	s.releaseResponse = release
 	if err == nil && o.Status/100 == 2 && o.Header.Get(s.handler.HeaderCodec.CompleteMarker) == "" {
 		err = &MissingCompleteMarkerError{}
 	}
--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -115,7 +115,9 @@
 	index      atomic.Pointer[routing.Index]
 	roundRobin weightedRoundRobin
 	routeRates routeRates
-	running    atomic.Int64
+	// responseMemory limits the memory for responses.
+	responseMemory responseMemory
+	running        atomic.Int64
 	// acceptUntil is the time from which a draining host rejects new requests; nil
 	// while the host is not draining.
 	acceptUntil atomic.Pointer[time.Time]
@@ -167,9 +169,12 @@
 		callerRequest: r,
 		start:         h.now(),
 		cancel:        func() {},
+
+		releaseResponse: func() {},
 	}
 	s.serve()
 	s.cancel()
+	s.releaseResponse()
 }
 
 func (h *Handler) now() time.Time {
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -41,6 +41,8 @@
 	// queueTime is the total time that the request waited for slots on backend
 	// servers.
 	queueTime time.Duration
+	// releaseResponse frees the memory of the last response.
+	releaseResponse func()
 	// possibleRuns is the number of tried servers that may have run the request.
 	possibleRuns int
 }
--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -25,7 +25,7 @@
 	for name, values := range resp.header {
 		headers[name] = values
 	}
-	headers.Set("Content-Length", strconv.Itoa(len(resp.body)))
+	headers.Set("Content-Length", strconv.FormatInt(resp.body.size, 10))
 	if _, hasDate := headers["Date"]; !hasDate {
 		// This keeps net/http from adding a date where the server sent none.
 		headers["Date"] = nil
@@ -34,7 +34,7 @@
 	s.w.WriteHeader(resp.status)
 	// A write error means that the caller's connection is closed, so that nothing else
 	// can be sent to it.
-	_, _ = s.w.Write(resp.body)
+	_ = resp.body.writeTo(s.w)
 	s.recordResponse(resp.status)
 }
 
--- a/exchange/client.go
+++ b/exchange/client.go
@@ -31,8 +31,10 @@
 	keepAliveCount    = 3
 )
 
-// maxResponseHeaderSize limits the headers of a response, in bytes.
-const maxResponseHeaderSize = 1 << 20
+// maxResponseHeaderSize limits the headers of a response, in bytes, together with those of
+// interim responses before it. Bytes that are no response may come without end, from many
+// servers at the same time.
+const maxResponseHeaderSize = 128 << 10
 
 // Client sends requests to backend servers and pools connections to them. The
 // zero value is ready to use. A Client is safe for concurrent use and must not be
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -150,7 +150,11 @@
 	}, wait)
 	var historyGone *objectstore.HistoryGoneError
 	if err != nil && ctx.Err() == nil && !errors.As(err, &historyGone) {
-		s.handleReaderFailure(ctx, reader, err)
+		if s.host.isFirstStart() {
+			sleep(ctx, nextReaderDelay)
+		} else {
+			s.handleReaderFailure(ctx, reader, err)
+		}
 		return objectstore.VersionedObjects{
 			Next: after,
 		}, nil
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -21,6 +21,9 @@
 	idleTimeout   = 2 * time.Minute
 )
 
+// maxHeaderBytes limits the headers of a request. Callers may send bytes without end.
+const maxHeaderBytes = 256 << 10
+
 // ListenError reports an address that can't be listened on.
 type ListenError struct {
 	Address netip.AddrPort
@@ -112,6 +115,7 @@
 			Handler:           s.handler,
 			ReadHeaderTimeout: headerTimeout,
 			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
 		}
 		servers = append(servers, server)
 		go h.serve(server, listener)
