Drop the quota reports of hosts that own nothing any more

Cause: a digest lists the reports of the hosts that own a part of a rate. A host that owned one no longer was not on that list, so its last report stayed with the receiver, and its share stayed reserved.

Ruled out: calls for tokens that time out (no event of that kind in the logs of eight hosts).

Change: the reports of a digest replace those of all hosts on the relay's list; the digests between the two relays of a region do not, since they hold only what the receiver owns. TestOwnersKnowEachOthersReports fails without either.

--- a/membership/relay.go
+++ b/membership/relay.go
@@ -65,7 +65,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	known := r.knownHosts(now)
-	r.hasRelays, r.isRelay = len(known)+1 > MaxDirectHosts, false
+	r.ownRegion, r.hasRelays, r.isRelay = own.Region, len(known)+1 > MaxDirectHosts, false
 	if !r.hasRelays {
 		return Targets{
 			Heartbeats: known,
--- a/membership/relay_view.go
+++ b/membership/relay_view.go
@@ -53,8 +53,11 @@
 	for _, state := range d.Hosts {
 		r.applyState(view, state)
 	}
-	for _, q := range d.Quotas {
-		r.applyQuota(q)
+	// A relay has the reports of its region itself, and gets those of the others from their
+	// relays. What the other relay of its region sends is only what this host needs as an
+	// owner.
+	if !r.isRelay || d.Relay.Region != r.ownRegion {
+		r.applyQuotas(view, d.Quotas)
 	}
 	for name := range view.hosts {
 		if last, isHeard := r.received[name]; isHeard {
@@ -97,15 +100,23 @@
 	r.store(state.Name, last)
 }
 
-// applyQuota stores the quota report of a host. A report of a host that this host hears itself
-// is ignored.
-func (r *Roster) applyQuota(q HostQuota) {
-	last, isHeard := r.received[q.Name]
-	if !isHeard || r.isDirect(last, r.now()) {
-		return
+// applyQuotas replaces the quota reports of the hosts on a relay's list. A host without a
+// report owns no part of a rate that concerns this host any more. Hosts that this host hears
+// itself, and hosts that are no longer on the list, keep their last reports.
+func (r *Roster) applyQuotas(view *relayView, quotas []HostQuota) {
+	reports := make(map[string]HostQuota, len(quotas))
+	for _, q := range quotas {
+		reports[q.Name] = q
+	}
+	now := r.now()
+	for name := range view.hosts {
+		last, isHeard := r.received[name]
+		if !isHeard || r.isDirect(last, now) {
+			continue
+		}
+		last.heartbeat.TeamDemand, last.heartbeat.TeamShares = reports[name].Demand, reports[name].Shares
+		r.store(name, last)
 	}
-	last.heartbeat.TeamDemand, last.heartbeat.TeamShares = q.Demand, q.Shares
-	r.store(q.Name, last)
 }
 
 // Regions returns the newest summary of each region that relays reported. It leaves out
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -25,8 +25,9 @@
 	received map[string]receivedHeartbeat
 	// recordedAt is when the record of each host became known, by name.
 	recordedAt map[string]time.Time
-	// hasRelays is true if the fleet has relays, and isRelay if this host is one, as of the
-	// last call of Targets.
+	// ownRegion is this host's region. hasRelays is true if the fleet has relays, and isRelay
+	// if this host is one. All are as of the last call of Targets.
+	ownRegion string
 	hasRelays bool
 	isRelay   bool
 	// selectedAt is since when each relay is selected, and suspectedAt when a host did not
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -272,6 +273,37 @@
 	}
 }
 
+// TestOwnersKnowEachOthersReports moves a team from some owners to others. Each owner must know
+// the reports of all others, and none of those that own nothing any more: a share that is
+// remembered would stay reserved, and the team could use the rest only.
+func TestOwnersKnowEachOthersReports(t *testing.T) {
+	f := newFleet(t, 60, 1)
+	for _, owners := range [][]int{{0, 1, 2}, {3, 4, 5}, {0, 4, 59}} {
+		expected := make(map[string]float64)
+		for n, h := range f.hosts {
+			h.shares = nil
+			if slices.Contains(owners, n) {
+				h.shares = quota.Shares{
+					"north": 0.3,
+				}
+				expected[h.record.Name] = 0.3
+			}
+		}
+		f.run(settleTime)
+		for _, n := range owners {
+			known := map[string]float64{
+				f.hosts[n].record.Name: 0.3,
+			}
+			for _, peer := range f.hosts[n].roster.LivePeers() {
+				if share, isKnown := peer.TeamShares["north"]; isKnown {
+					known[peer.Name] = share
+				}
+			}
+			require.Equal(t, expected, known, "owners %v, as known by %s", owners, f.hosts[n].record.Name)
+		}
+	}
+}
+
 // TestTrafficOfHostDoesNotGrowWithFleet compares what a host that is no relay sends and
 // receives in fleets of 118 and 300 hosts.
 func TestTrafficOfHostDoesNotGrowWithFleet(t *testing.T) {
