Tell rejected requests of a team different times to come back

Cause: all requests that were rejected for lack of a token at the same time were told the time until the next token, so they came back together and one of them found it.

Change: each rejected request is promised the next token that no other was promised, at the host that owns the tokens. A host that does not ask says when the asked ones expect a token. TestRejectedRequestsComeBackEvenly and TestHostThatDoesNotAskSaysWhenOthersHaveTokens fail without it.

--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -179,14 +179,14 @@
 	if !s.handler.RateLimiter.HasShares() {
 		return &StartingError{}
 	}
-	wait, ok := s.handler.RateLimiter.TakeToken(s.team.Name)
-	if ok {
+	if _, ok := s.handler.RateLimiter.TakeToken(s.team.Name); ok {
 		return nil
 	}
 	othersWait, ok := s.borrowToken()
 	if ok {
 		return nil
 	}
+	wait := s.handler.RateLimiter.PromiseToken(s.team.Name)
 	if othersWait > 0 {
 		wait = min(wait, othersWait)
 	}
--- a/bufferproxy/upload_test.go
+++ b/bufferproxy/upload_test.go
@@ -78,7 +78,7 @@
 // TestUploadThatBreaksIsNotSentAgain lets the first server close the connection within a large
 // body. No other server may get it.
 func TestUploadThatBreaksIsNotSentAgain(t *testing.T) {
-	breaks := func(w http.ResponseWriter, r *http.Request) {
+	breaks := func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.CopyN(io.Discard, r.Body, 2*bufferproxy.MaxBufferedBodyBytes)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/host/borrow.go
+++ b/internal/host/borrow.go
@@ -33,8 +33,8 @@
 // region. If it gets none, it returns false and the shortest time after which one of the asked
 // hosts expects to have one, zero if none said so.
 func (h *host) borrowToken(ctx context.Context, team string) (time.Duration, bool) {
-	if !h.limiter.ShouldBorrow(team) {
-		return 0, false
+	if wait, shouldBorrow := h.limiter.ShouldBorrow(team); !shouldBorrow {
+		return wait, false
 	}
 	var shortest time.Duration
 	for i, address := range h.tokenLenders(team) {
--- a/quota/lend.go
+++ b/quota/lend.go
@@ -3,13 +3,14 @@
 import "time"
 
 // LendToken takes one token from this host's bucket for a request that another host has
-// received. If there is none, it returns false and the time until the next one. Since a token
-// only changes hosts, lending does not raise the total rate. The request counts as demand of
-// this host if countDemand is true; a host that asks several others sets it for the first.
+// received. If there is none, it returns false and the time after which the request should come
+// back. Since a token only changes hosts, lending does not raise the total rate. The request
+// counts as demand of this host, and is promised a token if there is none, if isFirst is true; a
+// host that asks several others sets it for the first.
 //
 // Lending is for teams whose rate is small for the number of hosts: each host's share is
 // less than one request per second, and requests often arrive at a host without a token.
-func (l *Limiter) LendToken(team string, countDemand bool) (time.Duration, bool) {
+func (l *Limiter) LendToken(team string, isFirst bool) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state, known := l.teams[team]
@@ -17,12 +18,15 @@
 		return 0, false
 	}
 	now := l.now()
-	if countDemand {
+	if isFirst {
 		state.demand.Add(now)
 	}
 	if state.bucket.TakeToken(now) {
 		return 0, true
 	}
+	if isFirst {
+		return state.promiseToken(now), false
+	}
 	return state.bucket.TimeUntilToken(now), false
 }
 
@@ -37,7 +41,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if state, known := l.teams[team]; known {
-		state.borrowAfter = l.now().Add(min(wait, maxBorrowPause))
+		now := l.now()
+		state.borrowAfter = now.Add(min(wait, maxBorrowPause))
+		state.othersHaveTokenAt = now.Add(wait)
 	}
 }
 
@@ -61,19 +67,23 @@
 // above 1 because the reported demand of small teams fluctuates widely.
 const maxBorrowDemand = 2
 
-// ShouldBorrow reports whether it is worth asking other hosts for a token of the team. It
+// ShouldBorrow reports whether it is worth asking other hosts for a token of the team. If it is
+// not because they had none, it returns the time until they expect to have one, else zero. It
 // returns false for a team whose demand is far above its rate, so that its requests are
 // rejected at once without a call to other hosts, and after [Limiter.RecordRefusal]. A host
 // that owns no part of the rate does not know the demand, and asks.
-func (l *Limiter) ShouldBorrow(team string) bool {
+func (l *Limiter) ShouldBorrow(team string) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state, known := l.teams[team]
-	if !known || state.team.Rate <= 0 || l.now().Before(state.borrowAfter) {
-		return false
+	if !known || state.team.Rate <= 0 {
+		return 0, false
+	}
+	if now := l.now(); now.Before(state.borrowAfter) {
+		return max(0, state.othersHaveTokenAt.Sub(now)), false
 	}
 	if !l.ownership.isOwner(team, l.ownership.Self) {
-		return true
+		return 0, true
 	}
 	demand := state.demand.PerSecond(l.now())
 	for _, r := range l.reports {
@@ -81,5 +91,5 @@
 			demand += r.Demand[team]
 		}
 	}
-	return demand <= maxBorrowDemand*state.team.Rate
+	return 0, demand <= maxBorrowDemand*state.team.Rate
 }
--- a/quota/lend_test.go
+++ b/quota/lend_test.go
@@ -71,20 +71,20 @@
 	withoutShares := &quota.Limiter{}
 	withoutShares.SetTeams([]routing.Team{smallTeam})
 	require.False(t, canLend(withoutShares, smallTeam.Name))
-	require.False(t, withoutShares.ShouldBorrow("unknown"))
+	require.False(t, shouldBorrow(withoutShares, "unknown"))
 }
 
 // TestShouldBorrowOnlyUpToTwiceTheRate checks that a host tries to borrow for a team below
 // its rate, and not for the same team at five times its rate, where no host has tokens
 // left to lend.
 func TestShouldBorrowOnlyUpToTwiceTheRate(t *testing.T) {
-	for demand, shouldBorrow := range map[float64]bool{
+	for demand, expected := range map[float64]bool{
 		15:  true,
 		100: false,
 	} {
 		f := newFleet(manyHosts, smallTeam)
 		f.run(rand.New(rand.NewPCG(1, 2)), 5*time.Second, spreadEvenly(manyHosts, demand))
-		require.Equal(t, shouldBorrow, f.limiters[0].ShouldBorrow(smallTeam.Name), "demand of %v requests per second", demand)
+		require.Equal(t, expected, shouldBorrow(f.limiters[0], smallTeam.Name), "demand of %v requests per second", demand)
 	}
 }
 
@@ -94,3 +94,8 @@
 	_, ok := lender.LendToken(team, false)
 	return ok
 }
+
+func shouldBorrow(borrower *quota.Limiter, team string) bool {
+	_, ok := borrower.ShouldBorrow(team)
+	return ok
+}
--- a/quota/owners_test.go
+++ b/quota/owners_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,3 +151,42 @@
 	f.run(random, reportInterval-tick, spreadEvenly(hosts, 4000))
 	require.Less(t, float64(len(f.accepted)), 2*team.Rate)
 }
+
+// TestRejectedRequestsComeBackEvenly rejects many requests at the same instant and lets each come
+// back when it was told to. Each must find a token.
+func TestRejectedRequestsComeBackEvenly(t *testing.T) {
+	f := newFleet(1, team)
+	l := f.limiters[0]
+	f.now = f.now.Add(time.Second)
+	for {
+		if _, ok := l.TakeToken(team.Name); !ok {
+			break
+		}
+	}
+	start := f.now
+	var waits []time.Duration
+	for range 40 {
+		waits = append(waits, l.PromiseToken(team.Name))
+	}
+	for _, wait := range waits {
+		f.now = start.Add(wait)
+		_, ok := l.TakeToken(team.Name)
+		require.True(t, ok, "after %v", wait)
+	}
+	require.Less(t, waits[len(waits)-1], 2*time.Second)
+}
+
+// TestHostThatDoesNotAskSaysWhenOthersHaveTokens rejects a request without a call to other hosts,
+// shortly after these had no token.
+func TestHostThatDoesNotAskSaysWhenOthersHaveTokens(t *testing.T) {
+	f := newFleetWithOwners(60, team)
+	borrower := f.limiters[slices.IndexFunc(f.limiters, func(l *quota.Limiter) bool { return !l.IsOwner(team.Name) })]
+	borrower.RecordRefusal(team.Name, time.Second)
+	f.now = f.now.Add(100 * time.Millisecond)
+	wait, ok := borrower.ShouldBorrow(team.Name)
+	require.False(t, ok)
+	require.Equal(t, 900*time.Millisecond, wait)
+	f.now = f.now.Add(time.Second)
+	_, ok = borrower.ShouldBorrow(team.Name)
+	require.True(t, ok)
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -119,8 +119,29 @@
 	share float64
 	// hasInitialTokens is true once the bucket has got its first tokens.
 	hasInitialTokens bool
-	// borrowAfter is the time until which other hosts have no tokens either.
-	borrowAfter time.Time
+	// borrowAfter is the time until which other hosts are not asked for tokens, and
+	// othersHaveTokenAt when they expect to have one.
+	borrowAfter       time.Time
+	othersHaveTokenAt time.Time
+	// promisedUntil is the latest time at which a rejected request was told to come back.
+	promisedUntil time.Time
+}
+
+// maxPromise is the longest time after which a rejected request is told to come back.
+const maxPromise = 5 * time.Second
+
+// promiseToken returns when a rejected request should come back: when there will be a token
+// that no other rejected request was promised. So the requests that were rejected together do
+// not come back together, only for one of them to find a token.
+func (state *teamState) promiseToken(now time.Time) time.Duration {
+	wait := state.bucket.TimeUntilToken(now)
+	if state.bucket.Rate <= 0 {
+		return wait
+	}
+	perToken := time.Duration(float64(time.Second)/state.bucket.Rate) + 1
+	wait = min(max(wait, state.promisedUntil.Sub(now)+perToken), maxPromise)
+	state.promisedUntil = now.Add(wait)
+	return wait
 }
 
 // SetOvershoot sets OvershootFraction and OvershootRequests. They take effect at the next
@@ -200,6 +221,19 @@
 	return state.bucket.TimeUntilToken(now), false
 }
 
+// PromiseToken returns after what time a request of the team that is rejected for lack of a
+// token should come back, as far as this host's own tokens are concerned. The waits of several
+// rejected requests differ, so that they come back evenly.
+func (l *Limiter) PromiseToken(team string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state, known := l.teams[team]
+	if !known {
+		return 0
+	}
+	return state.promiseToken(l.now())
+}
+
 // ReturnToken gives back the token of a request that no backend server ran.
 func (l *Limiter) ReturnToken(team string) {
 	l.mu.Lock()
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -104,7 +104,7 @@
 
 // borrow asks the next hosts of the fleet for a token.
 func (f *fleet) borrow(l *quota.Limiter) bool {
-	if f.lenders == 0 || !l.ShouldBorrow(f.team.Name) {
+	if f.lenders == 0 || !shouldBorrow(l, f.team.Name) {
 		return false
 	}
 	index := slices.Index(f.limiters, l)
