--- a/bufferproxy/handler_test.go
+++ b/bufferproxy/handler_test.go
@@ -382,6 +382,27 @@
 	require.Equal(t, []string{"small", "small"}, borrowers)
 }
 
+// TestRequestComesBackSoonIfOwnersDoNotAnswer rejects a request on a host that owns no part of
+// the team's rate, while the hosts that do don't answer.
+func TestRequestComesBackSoonIfOwnersDoNotAnswer(t *testing.T) {
+	host := newTestHost(t, respondOK)
+	host.handler.RateLimiter.SetOwnership(quota.Ownership{
+		Self: "accra-1",
+		Owners: map[string]map[string][]string{
+			"small": {
+				"accra": {"accra-2"},
+			},
+		},
+	})
+	host.handler.RateLimiter.UpdateShares(nil)
+	host.handler.BorrowToken = func(context.Context, string) (time.Duration, bool) { return 0, false }
+	r := host.request(http.MethodGet, "/stock/17", "")
+	r.Header.Set(apiKeyHeader, "small-key")
+	response, _ := host.send(r)
+	require.Equal(t, http.StatusTooManyRequests, response.StatusCode)
+	require.Equal(t, bufferproxy.DefaultRetryAfter.String(), response.Header.Get("Retry-After"))
+}
+
 func TestSetConfigurationIgnoresOlderVersion(t *testing.T) {
 	host := newTestHost(t, respondOK)
 	older := configuration()
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -187,8 +187,12 @@
 		return nil
 	}
 	wait := s.handler.RateLimiter.PromiseToken(s.team.Name)
-	if othersWait > 0 {
+	switch {
+	case othersWait > 0:
 		wait = min(wait, othersWait)
+	case wait > maxRetryAfter:
+		// This host has no tokens of the team, and those that have did not answer.
+		wait = DefaultRetryAfter
 	}
 	return &RateLimitError{
 		Team:       s.team.Name,
--- a/internal/host/borrow.go
+++ b/internal/host/borrow.go
@@ -25,8 +25,11 @@
 	// request, and maxOwnerRequests how many if a few hosts own the team's rate.
 	maxTokenRequests = 6
 	maxOwnerRequests = 3
-	// tokenRequestTimeout bounds each of these calls. They stay within one region.
+	// tokenRequestTimeout and ownerRequestTimeout bound each of these calls. They stay
+	// within one region. An owner gets more time, since nobody else has tokens: the links of
+	// small hosts take tens of milliseconds for one large response.
 	tokenRequestTimeout = 40 * time.Millisecond
+	ownerRequestTimeout = 200 * time.Millisecond
 )
 
 // borrowToken gets a rate limit token for a request of a team from another host of this
@@ -36,9 +39,13 @@
 	if wait, shouldBorrow := h.limiter.ShouldBorrow(team); !shouldBorrow {
 		return wait, false
 	}
+	timeout := tokenRequestTimeout
+	if _, isOwned := h.limiter.OwnersIn(h.settings().Region, team); isOwned {
+		timeout = ownerRequestTimeout
+	}
 	var shortest time.Duration
 	for i, address := range h.tokenLenders(team) {
-		wait, ok := h.peerMessenger.requestToken(ctx, address, team, i == 0 && !h.limiter.IsOwner(team))
+		wait, ok := h.peerMessenger.requestToken(ctx, address, team, timeout, i == 0 && !h.limiter.IsOwner(team))
 		if ok {
 			return 0, true
 		}
@@ -82,8 +89,8 @@
 // host expects to have one, zero if it did not say. A host that does not respond counts as
 // having none. If the response is lost, the token is lost too, so the team can send one
 // request less but never one too many.
-func (p *peerMessenger) requestToken(ctx context.Context, address netip.AddrPort, team string, countDemand bool) (time.Duration, bool) {
-	ctx, cancel := context.WithTimeout(ctx, tokenRequestTimeout)
+func (p *peerMessenger) requestToken(ctx context.Context, address netip.AddrPort, team string, timeout time.Duration, countDemand bool) (time.Duration, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	query := url.Values{
 		"team": {team},
