Compress digests and copies between hosts

Change: digests from 1 KB on and copies are compressed with gzip, copies only for hosts that accept it. Bounds hold for what a body decompresses to.

--- a/internal/host/digests.go
+++ b/internal/host/digests.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"go.uber.org/zap"
@@ -48,7 +47,8 @@
 		p.host.log.Write(observe.HeartbeatSendFailed, zap.Error(err))
 		return
 	}
-	status, response := p.post(ctx, target.PeerAddress, digestPath, body)
+	body, isCompressed := compress(body)
+	status, response := p.post(ctx, target.PeerAddress, digestPath, body, isCompressed)
 	switch status {
 	case http.StatusOK, http.StatusNoContent:
 		p.publisher.Acknowledge(target, digest)
@@ -62,7 +62,7 @@
 // follow from the last one of that relay, so that the relay sends its whole list.
 func (p *peerMessenger) handleDigest(w http.ResponseWriter, r *http.Request) {
 	var digest membership.Digest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxDigestBytes)).Decode(&digest); err != nil {
+	if err := readJSON(r.Body, r.Header.Get("Content-Encoding"), maxDigestBytes, &digest); err != nil {
 		http.Error(w, http.StatusText(http.StatusBadRequest), http.StatusBadRequest)
 		p.host.log.Write(observe.HeartbeatUnreadable, zap.String("from", r.RemoteAddr), zap.Error(err))
 		return
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -68,7 +68,7 @@
 
 func (p *peerMessenger) handleHeartbeat(w http.ResponseWriter, r *http.Request) {
 	var heartbeat membership.Heartbeat
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxHeartbeatBytes)).Decode(&heartbeat); err != nil {
+	if err := readJSON(r.Body, r.Header.Get("Content-Encoding"), maxHeartbeatBytes, &heartbeat); err != nil {
 		http.Error(w, http.StatusText(http.StatusBadRequest), http.StatusBadRequest)
 		p.host.log.Write(observe.HeartbeatUnreadable, zap.String("from", r.RemoteAddr), zap.Error(err))
 		return
@@ -206,7 +206,7 @@
 // sendHeartbeat sends a heartbeat. One that is lost is not sent again; the next one replaces
 // it.
 func (p *peerMessenger) sendHeartbeat(ctx context.Context, address netip.AddrPort, body []byte) {
-	if status, response := p.post(ctx, address, heartbeatPath, body); status == http.StatusOK {
+	if status, response := p.post(ctx, address, heartbeatPath, body, false); status == http.StatusOK {
 		p.readRelayHint(response)
 	}
 }
@@ -217,7 +217,7 @@
 // post sends a message to another host, records the round-trip time, and ends the mark that
 // one is being sent there. It returns the status and the body of the response, or zero if
 // there was none.
-func (p *peerMessenger) post(ctx context.Context, address netip.AddrPort, path string, body []byte) (int, []byte) {
+func (p *peerMessenger) post(ctx context.Context, address netip.AddrPort, path string, body []byte, isCompressed bool) (int, []byte) {
 	defer p.unmarkSending(address)
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
@@ -226,6 +226,9 @@
 		p.host.log.Write(observe.HeartbeatSendFailed, zap.Error(err))
 		return 0, nil
 	}
+	if isCompressed {
+		request.Header.Set("Content-Encoding", gzipEncoding)
+	}
 	start := time.Now()
 	response, err := p.client.Do(request)
 	if err != nil {
--- a/internal/host/relay.go
+++ b/internal/host/relay.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -219,9 +217,8 @@
 	case err != nil:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
-		w.Header().Set("Content-Type", "application/json")
 		// An error means that the other host is gone and needs no response.
-		_ = json.NewEncoder(w).Encode(changes)
+		_ = writeJSON(w, r, changes)
 	}
 }
 
@@ -275,6 +272,7 @@
 	if err != nil {
 		return objectstore.VersionedObjects{}, err
 	}
+	request.Header.Set("Accept-Encoding", gzipEncoding)
 	response, err := p.client.Do(request)
 	if err != nil {
 		return objectstore.VersionedObjects{}, err
@@ -292,7 +290,7 @@
 		}
 	}
 	var changes objectstore.VersionedObjects
-	err = json.NewDecoder(io.LimitReader(response.Body, maxCopyBytes)).Decode(&changes)
+	err = readJSON(response.Body, response.Header.Get("Content-Encoding"), maxCopyBytes, &changes)
 	return changes, err
 }
 
