--- a/membership/relay.go
+++ b/membership/relay.go
@@ -176,9 +176,15 @@
 }
 
 // HintForDigest returns what to tell a relay that sent a digest: the relays of its region as
-// this host knows them, if the sender is none of them.
+// this host knows them, if the sender is none of them. It returns nothing in a fleet without
+// relays.
 func (r *Roster) HintForDigest(own HostRecord, draining bool, sender HostRecord) []HostRecord {
-	relays := r.Relays(sender.Region, own, draining)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.hasRelays {
+		return nil
+	}
+	relays := r.relays(sender.Region, own, draining, r.now())
 	if slices.ContainsFunc(relays, func(h HostRecord) bool { return h.Name == sender.Name }) {
 		return nil
 	}
