Take different free ports in the test of malformed messages

Cause: the test asked for one free port after the other, and one of five could come twice; it failed once in 16 runs with 404, from the look-ups' listener.

--- a/internal/host/digests_test.go
+++ b/internal/host/digests_test.go
@@ -22,28 +22,33 @@
 	"trefoilline.example/trefoilline/observe"
 )
 
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress(t *testing.T) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// freeAddresses returns different loopback addresses with ports that are free now.
+func freeAddresses(t *testing.T, count int) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
+	}
+	return addresses
 }
 
 // startHost runs a host without a store, and returns its settings and the log.
 func startHost(t *testing.T) (host.Settings, *observer.ObservedLogs) {
 	core, logged := observer.New(zap.DebugLevel)
+	addresses := freeAddresses(t, 5)
 	settings := host.Settings{
 		Identity: host.Identity{
 			Host:          "accra-1",
 			Region:        "accra",
 			Zone:          "accra-a",
-			CallerAddress: freeAddress(t),
-			ReadyAddress:  freeAddress(t),
-			LookupAddress: freeAddress(t),
-			PeerAddress:   freeAddress(t),
+			CallerAddress: addresses[0],
+			ReadyAddress:  addresses[1],
+			LookupAddress: addresses[2],
+			PeerAddress:   addresses[3],
 		},
-		StoreAddress:        freeAddress(t),
+		StoreAddress:        addresses[4],
 		MaxLookupTTLSeconds: 5,
 		DrainSeconds:        1,
 	}
