Pass on early that a host drains

Cause (by reading): lookup responses are valid so long that they expire before a draining host stops, if the other hosts learn within one heartbeat interval that it drains. With relays that took up to two: the relay waited for the end of its own. Change: a relay sends a digest early for the first heartbeat that says so. TestRelayPassesDrainingOnEarly tests the decision.

--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -73,9 +73,13 @@
 		p.host.log.Write(observe.HeartbeatUnreadable, zap.String("from", r.RemoteAddr), zap.Error(err))
 		return
 	}
+	isUrgent := p.host.roster.NeedsEarlyDigest(heartbeat)
 	if p.host.roster.Receive(heartbeat) {
 		p.host.addCrashReports(heartbeat.CrashReports)
 	}
+	if isUrgent {
+		p.sendHeartbeatSoon()
+	}
 	answerWithHint(w, p.host.roster.HintForHeartbeat(p.host.record(), p.host.draining.Load(), heartbeat.HostRecord))
 	// The sender need not wait until this host has caught up.
 	go p.host.catchUp(context.WithoutCancel(r.Context()), heartbeat)
--- a/membership/relay.go
+++ b/membership/relay.go
@@ -163,6 +163,15 @@
 	return r.relays(region, own, draining, r.now())
 }
 
+// NeedsEarlyDigest reports whether this host, a relay, must not wait for the end of the interval
+// before it passes a heartbeat on that it is about to receive: the sender began to drain. Callers
+// must no longer be sent there.
+func (r *Roster) NeedsEarlyDigest(hb Heartbeat) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isRelay && hb.Draining && !r.received[hb.Name].heartbeat.Draining
+}
+
 // HintForHeartbeat returns what to tell a host that sent a heartbeat: the relays of its region,
 // if this host was none of them at the last call of [Roster.Targets]. It returns nothing in a
 // fleet without relays.
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -252,6 +252,29 @@
 	}
 }
 
+// TestRelayPassesDrainingOnEarly checks which heartbeats a relay passes on before the end of its
+// interval: the first that says that its sender drains, and none at a host that is no relay.
+// Lookup responses expire in time only if the other hosts learn within one interval that a host
+// drains.
+func TestRelayPassesDrainingOnEarly(t *testing.T) {
+	f := newFleet(t, 118, 1)
+	f.run(settleTime)
+	relay := f.byName[f.hosts[0].roster.Relays("accra", f.hosts[0].record, false)[0].Name]
+	sender := slices.IndexFunc(f.hosts, func(h *simulatedHost) bool { return h.record.Region == "accra" && !h.roster.Targets(h.record, false).IsRelay })
+	heartbeat := membership.Heartbeat{
+		HostRecord:  f.hosts[sender].record,
+		Incarnation: 1,
+		Sequence:    1000,
+	}
+	require.False(t, relay.roster.NeedsEarlyDigest(heartbeat))
+	heartbeat.Draining = true
+	require.True(t, relay.roster.NeedsEarlyDigest(heartbeat))
+	require.False(t, f.hosts[sender].roster.NeedsEarlyDigest(heartbeat))
+	require.True(t, relay.roster.Receive(heartbeat))
+	heartbeat.Sequence++
+	require.False(t, relay.roster.NeedsEarlyDigest(heartbeat))
+}
+
 // TestSummariesReachAllHosts checks the sums that hosts of one region know of another, and that
 // those of a region that is gone are dropped.
 func TestSummariesReachAllHosts(t *testing.T) {
