--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -260,7 +260,9 @@
 	f := newFleet(t, 118, 1)
 	f.run(settleTime)
 	relay := f.byName[f.hosts[0].roster.Relays("accra", f.hosts[0].record, false)[0].Name]
-	sender := slices.IndexFunc(f.hosts, func(h *simulatedHost) bool { return h.record.Region == "accra" && !h.roster.Targets(h.record, false).IsRelay })
+	sender := slices.IndexFunc(f.hosts, func(h *simulatedHost) bool {
+		return h.record.Region == "accra" && !h.roster.Targets(h.record, false).IsRelay
+	})
 	heartbeat := membership.Heartbeat{
 		HostRecord:  f.hosts[sender].record,
 		Incarnation: 1,
