Let a host that was paused use no tokens that it saved

Cause (by reading): the others keep the share of a host that they don't hear for 20 s. One that was paused for longer could spend what its buckets hold, and what they filled up meanwhile, until it next computed its shares. Change: shares are valid for 10 s, by the longer of the monotonic and the wall clock.

--- a/quota/lend.go
+++ b/quota/lend.go
@@ -21,7 +21,7 @@
 	if isFirst {
 		state.demand.Add(now)
 	}
-	if state.bucket.TakeToken(now) {
+	if l.areSharesValid(now) && state.bucket.TakeToken(now) {
 		return 0, true
 	}
 	if isFirst {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -37,6 +37,7 @@
 	"sync"
 	"time"
 
+	"trefoilline.example/trefoilline/internal/elapsed"
 	"trefoilline.example/trefoilline/meter"
 	"trefoilline.example/trefoilline/routing"
 )
@@ -103,8 +104,9 @@
 	mu        sync.Mutex
 	teams     map[string]*teamState
 	ownership Ownership
-	// reports holds the last reports of the other hosts.
-	reports []Report
+	// reports holds the last reports of the other hosts, and updatedAt is when they came.
+	reports   []Report
+	updatedAt time.Time
 	// hasShares is true once reports has been set. Before that, no request of a team
 	// with a rate passes: if all hosts are starting, each would take the whole rate.
 	hasShares bool
@@ -215,12 +217,22 @@
 	}
 	now := l.now()
 	state.demand.Add(now)
-	if state.team.Rate <= 0 || state.bucket.TakeToken(now) {
+	if state.team.Rate <= 0 || l.areSharesValid(now) && state.bucket.TakeToken(now) {
 		return 0, true
 	}
 	return state.bucket.TimeUntilToken(now), false
 }
 
+// sharesValidity is how long this host's shares are valid after they were last computed. The
+// other hosts keep them reserved for longer.
+const sharesValidity = 10 * time.Second
+
+// areSharesValid reports whether this host's shares were computed a short time ago. They were not
+// on a host that was paused or suspended: the others may have divided its shares among them since.
+func (l *Limiter) areSharesValid(now time.Time) bool {
+	return len(l.reports) == 0 || elapsed.Between(l.updatedAt, now) <= sharesValidity
+}
+
 // PromiseToken returns after what time a request of the team that is rejected for lack of a
 // token should come back, as far as this host's own tokens are concerned. The waits of several
 // rejected requests differ, so that they come back evenly.
@@ -294,8 +306,8 @@
 func (l *Limiter) UpdateShares(others []Report) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reports, l.hasShares = others, true
 	now := l.now()
+	l.reports, l.hasShares, l.updatedAt = others, true, now
 	for _, state := range l.teams {
 		state.share = l.computeShare(state, now)
 		l.updateBucket(state, now)
