Let relays that lack a change read the store themselves

Change: relays, and all hosts of a fleet without relays as before, read the store at once when they lag.

--- a/internal/host/followers.go
+++ b/internal/host/followers.go
@@ -109,8 +109,11 @@
 			}
 			follower.ReplaceIfNewer(copied)
 		case objectstore.RefreshFromStore:
-			// A host that reads from a reader asks that again. If the reader lacks the
-			// change too, the next action is a copy from the peer.
+			// In a fleet with relays, a host that is none asks its reader again. If that
+			// lacks the change too, the next action is a copy from the peer.
+			if !h.roster.HasRelays() || h.peerMessenger.isRelay.Load() {
+				h.sources[prefix].startDirectReads()
+			}
 			follower.Refresh()
 		case objectstore.UpToDate, objectstore.KeepWaiting:
 		}
