--- a/internal/host/followers.go
+++ b/internal/host/followers.go
@@ -109,11 +109,7 @@
 			}
 			follower.ReplaceIfNewer(copied)
 		case objectstore.RefreshFromStore:
-			// In a fleet with relays, a host that is none asks its reader again. If that
-			// lacks the change too, the next action is a copy from the peer.
-			if !h.roster.HasRelays() || h.peerMessenger.isRelay.Load() {
-				h.sources[prefix].startDirectReads()
-			}
+			h.sources[prefix].startDirectReads()
 			follower.Refresh()
 		case objectstore.UpToDate, objectstore.KeepWaiting:
 		}
--- a/membership/relay.go
+++ b/membership/relay.go
@@ -155,14 +155,6 @@
 	return regions
 }
 
-// HasRelays reports whether the fleet was large enough for relays at the last call of
-// [Roster.Targets].
-func (r *Roster) HasRelays() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.hasRelays
-}
-
 // Relays returns the relays of a region, given this host's own record and whether it is
 // draining.
 func (r *Roster) Relays(region string, own HostRecord, draining bool) []HostRecord {
