--- a/bufferproxy/endless_test.go
+++ b/bufferproxy/endless_test.go
@@ -53,14 +53,36 @@
 
 // endlessResponses are the places at which bytes may come without end.
 var endlessResponses = map[string]endlessServer{
-	"header line":       {unit: "x"},
-	"header lines":      {start: "HTTP/1.1 200 OK\r\n", unit: "Name: value\r\n"},
-	"interim responses": {unit: "HTTP/1.1 103 Early Hints\r\nName: value\r\n\r\n"},
-	"until close":       {start: okHead + "\r\n", unit: "x"},
-	"chunks":            {start: okHead + "Transfer-Encoding: chunked\r\n\r\n", unit: "8\r\n12345678\r\n"},
-	"chunk extension":   {start: okHead + "Transfer-Encoding: chunked\r\n\r\n8;", unit: "x"},
-	"trailers":          {start: okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", unit: "Name: value\r\n"},
-	"declared length":   {start: okHead + "Content-Length: 1000000000000\r\n\r\n", unit: "x"},
+	"header line": {
+		unit: "x",
+	},
+	"header lines": {
+		start: "HTTP/1.1 200 OK\r\n",
+		unit:  "Name: value\r\n",
+	},
+	"interim responses": {
+		unit: "HTTP/1.1 103 Early Hints\r\nName: value\r\n\r\n",
+	},
+	"until close": {
+		start: okHead + "\r\n",
+		unit:  "x",
+	},
+	"chunks": {
+		start: okHead + "Transfer-Encoding: chunked\r\n\r\n",
+		unit:  "8\r\n12345678\r\n",
+	},
+	"chunk extension": {
+		start: okHead + "Transfer-Encoding: chunked\r\n\r\n8;",
+		unit:  "x",
+	},
+	"trailers": {
+		start: okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+		unit:  "Name: value\r\n",
+	},
+	"declared length": {
+		start: okHead + "Content-Length: 1000000000000\r\n\r\n",
+		unit:  "x",
+	},
 }
 
 // TestEndlessResponsesEnd checks that a response without end is dropped, that its connection is
--- a/internal/host/digests_test.go
+++ b/internal/host/digests_test.go
@@ -112,13 +112,29 @@
 		encoding string
 		content  io.Reader
 	}{
-		"empty":          {content: strings.NewReader("")},
-		"cut off":        {content: strings.NewReader(`{"relay":{"name":"a"`)},
-		"another type":   {content: strings.NewReader(`{"name":7,"relay":[],"hosts":"x"}`)},
-		"no object":      {content: strings.NewReader(`[1,2]`)},
-		"bad address":    {content: strings.NewReader(`{"name":"a","peers":"nowhere","relay":{"peers":"nowhere"}}`)},
-		"not compressed": {encoding: "gzip", content: strings.NewReader(`{"name":"a"}`)},
-		"bomb":           {encoding: "gzip", content: zipped(t, spaces)},
+		"empty": {
+			content: strings.NewReader(""),
+		},
+		"cut off": {
+			content: strings.NewReader(`{"relay":{"name":"a"`),
+		},
+		"another type": {
+			content: strings.NewReader(`{"name":7,"relay":[],"hosts":"x"}`),
+		},
+		"no object": {
+			content: strings.NewReader(`[1,2]`),
+		},
+		"bad address": {
+			content: strings.NewReader(`{"name":"a","peers":"nowhere","relay":{"peers":"nowhere"}}`),
+		},
+		"not compressed": {
+			encoding: "gzip",
+			content:  strings.NewReader(`{"name":"a"}`),
+		},
+		"decompresses to too much": {
+			encoding: "gzip",
+			content:  zipped(t, spaces),
+		},
 	} {
 		content, err := io.ReadAll(body.content)
 		require.NoError(t, err)
