Log the limits that backend servers name

Responses' limits are read, kept with the server and logged when they change: server-limited (218) and server-limit-ended (219), the latter with the number of requests that this host sent meanwhile. Nothing is decided by them yet.

A limit ends with a response that has the complete marker and no limit. What cannot be read changes nothing. Test: TestHeaderCodecReadsServerLimit.

--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -84,6 +84,10 @@
 	// ReadLoad returns the load that a backend server reports in the header of a
 	// response; nil if it reports none.
 	ReadLoad func(http.Header) *placement.LoadReport
+	// ReadLimit returns what the header of a backend server's response says of the rate
+	// of requests that the server accepts; nil if it is malformed. If ReadLimit is nil,
+	// servers name no limits.
+	ReadLimit func(http.Header) placement.LimitReport
 	// FormatRetryAfter returns the value of the Retry-After header for a wait.
 	FormatRetryAfter func(time.Duration) string
 }
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -40,6 +40,9 @@
 		defer a.abort()
 		return a.unknownOutcome(MismatchedResponse, cause)
 	}
+	if a.request.OnResponseHeader != nil && response.StatusCode != http.StatusMisdirectedRequest {
+		a.request.OnResponseHeader(response.Header)
+	}
 	if reason, isRefused := a.refusalReason(response); isRefused {
 		defer a.abort()
 		return a.request.requestOutcome(&refused{
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -254,6 +254,28 @@
 		Cause:  "The host that reads the store on behalf of this one did not respond, or cannot reach the store; this host reads the store directly for a while.",
 		Action: "None; if this persists, check that host.",
 	}
+	ServerLimited = Event{
+		Number: 218,
+		Name:   "server-limited",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"server",
+			"rate",
+		},
+		Cause:  "A backend server named the rate of requests, in requests per second, that it accepts from all hosts together.",
+		Action: "Find out what the server lacks.",
+	}
+	ServerLimitEnded = Event{
+		Number: 219,
+		Name:   "server-limit-ended",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"server",
+			"sent",
+		},
+		Cause:  "A backend server names no limit any more; sent is how many requests this host sent to it while it did.",
+		Action: "None.",
+	}
 	HostRecordWriteFailed = Event{
 		Number: 216,
 		Name:   "record-unwritten",
--- a/observe/list.go
+++ b/observe/list.go
@@ -23,6 +23,8 @@
 		StoreRecovered,
 		HostRecordWriteFailed,
 		StoreReaderUnavailable,
+		ServerLimited,
+		ServerLimitEnded,
 		PeerUnreachable,
 		MachineListUnreadable,
 		AllocationSyncFailed,
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -175,5 +175,6 @@
 		return nil
 	}
 	best.inFlight++
+	best.limit.sent++
 	return best
 }
--- a/placement/server.go
+++ b/placement/server.go
@@ -39,6 +39,7 @@
 	// the given generation.
 	coldShare      float64
 	coldGeneration uint64
+	limit          serverLimit
 	// waiting are the queued requests that have the server as a candidate, in queue
 	// order.
 	waiting []*queuedRequest
