Use fewer senders for cold servers that accept few requests

Cause: up to nine hosts may send to a cold server, each one request at once, whatever the rate.

Change: four senders, and one more for each 2 requests a second, at most nine as before. At 11 requests a second nothing changes.

Test: TestColdRateSharesSumToAtMostOne, now also with 0.5, 3.2 and 5.4 requests a second.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -10,12 +10,15 @@
 const coldBurst = 1
 
 // Only a few hosts, the senders, may send requests to a cold server. They must be few
-// because each of them has a burst of coldBurst besides its share of the rate.
+// because each of them has a burst of coldBurst besides its share of the rate. There are a few
+// for any rate, and one more for each coldRatePerSender of it.
 const (
-	// maxLocalSenders is the number of senders in the server's region.
-	maxLocalSenders = 6
-	// maxRemoteSenders is the number of senders in all other regions together.
-	maxRemoteSenders = 3
+	minColdSenders = 4
+	maxColdSenders = 9
+	// coldRatePerSender is in requests per second.
+	coldRatePerSender = 2
+	// localColdSenders is the fraction of the senders that are in the server's region.
+	localColdSenders = 2.0 / 3
 	// localSendersShare is the fraction of the rate that a server accepts that the senders
 	// in its region divide among themselves.
 	localSendersShare = 0.8
@@ -52,20 +55,22 @@
 		return 0, false
 	}
 	if s.coldGeneration != p.hostsGeneration || p.hostsGeneration == 0 {
-		s.coldShare = ColdRateShare(p.Host, s.Region, s.Name, p.hosts)
+		s.coldShare = ColdRateShare(p.Host, s.Region, s.Name, total, p.hosts)
 		s.coldGeneration = p.hostsGeneration
 	}
 	return total * s.coldShare, true
 }
 
-// ColdRateShare returns the fraction of a cold server's rate that a host may send,
-// from 0 to 1. The region is the server's, and hosts are the live hosts by region.
+// ColdRateShare returns the fraction of a cold server's rate, in requests per second, that a
+// host may send, from 0 to 1. The region is the server's, and hosts are the live hosts by region.
 // All hosts compute the shares in the same way, so that their sum is at most one.
 //
 // Without the division among hosts, a zone of servers that restart cold would
 // receive requests from all hosts at once.
-func ColdRateShare(host, region, server string, hosts map[string][]string) float64 {
-	return rateShare(host, region, server, hosts, maxLocalSenders, maxRemoteSenders)
+func ColdRateShare(host, region, server string, rate float64, hosts map[string][]string) float64 {
+	senders := int(min(minColdSenders+rate/coldRatePerSender, maxColdSenders))
+	local := int(localColdSenders * float64(senders))
+	return rateShare(host, region, server, hosts, local, senders-local)
 }
 
 // rateShare returns the fraction of the rate that a server accepts that a host may send, if the
--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -24,10 +24,13 @@
 // than it accepts. It bounds what all hosts together send in one second: the rate,
 // plus one request at once from each host with a share.
 func TestColdRateSharesSumToAtMostOne(t *testing.T) {
-	const (
-		coldRate    = 11.0
-		maxRequests = coldRate*1.5 + 5
-	)
+	for _, coldRate := range []float64{0.5, 3.2, 5.4, 11} {
+		t.Run(fmt.Sprintf("%v/s", coldRate), func(t *testing.T) { checkColdRateShares(t, coldRate) })
+	}
+}
+
+func checkColdRateShares(t *testing.T, coldRate float64) {
+	maxRequests := coldRate*1.5 + 5
 	for _, counts := range []map[string]int{
 		{"accra": 3, "kumasi": 2, "tamale": 2},
 		{"accra": 1},
@@ -40,7 +43,7 @@
 			sum, senders := 0.0, 0
 			for _, names := range hosts {
 				for _, host := range names {
-					share := placement.ColdRateShare(host, "accra", server, hosts)
+					share := placement.ColdRateShare(host, "accra", server, coldRate, hosts)
 					sum += share
 					if share > 0 {
 						senders++
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -188,6 +188,10 @@
 	for _, s := range services {
 		p.serviceConfigs[s.Name] = s
 	}
+	for _, s := range p.servers {
+		// The share depends on the rate.
+		s.coldGeneration = 0
+	}
 }
 
 // SetHosts sets the names of the live hosts by region, including this host.
