Log that the store came back from an older copy, and revisions of configurations

To tell the hypotheses of the restored store apart: nothing told a restored store from one that was away, nor at which revision a configuration was read.

The era in the store's responses is read; store-restored (220) is logged when it rises. configuration-in-force (211) has the revision. Nothing is decided by them yet.

--- a/internal/host/followers.go
+++ b/internal/host/followers.go
@@ -128,18 +128,20 @@
 		h.logInvalid(o, err)
 		return false
 	}
-	h.setConfiguration(configuration)
+	h.setConfiguration(configuration, o.Version)
 	return true
 }
 
-// setConfiguration puts a configuration in force if it is newer than the current one.
-func (h *host) setConfiguration(configuration routing.Configuration) {
+// setConfiguration puts a configuration in force if it is newer than the current one. The
+// revision is that of its object in the store.
+func (h *host) setConfiguration(configuration routing.Configuration, revision objectstore.Version) {
 	if !h.handler.SetConfiguration(routing.NewIndex(configuration)) {
 		return
 	}
 	h.pool.SetServices(configuration.Services)
 	h.limiter.SetTeams(configuration.Teams)
-	h.log.Write(observe.ConfigurationApplied, zap.Uint64("version", uint64(configuration.Version)))
+	h.log.Write(observe.ConfigurationApplied, zap.Uint64("version", uint64(configuration.Version)),
+		zap.Uint64("revision", uint64(revision)))
 }
 
 // logInvalid logs an object of the store that is invalid, once for each of its
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -113,6 +113,9 @@
 		log:         log,
 		store: &platform.StoreClient{
 			Address: func() netip.AddrPort { return h.settings().StoreAddress },
+			OnRestore: func(era uint64) {
+				log.Write(observe.StoreRestored, zap.Uint64("era", era))
+			},
 		},
 		pool: &placement.Pool{
 			Host:   settings.Host,
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -176,8 +176,9 @@
 		Level:  zapcore.InfoLevel,
 		Fields: []string{
 			"version",
+			"revision",
 		},
-		Cause:  "The host applied a newer version of the operators' configuration.",
+		Cause:  "The host applied a newer version of the operators' configuration; revision is that of its object in the store.",
 		Action: "None.",
 	}
 	ZonesEvacuated = Event{
@@ -254,6 +255,16 @@
 		Cause:  "The host that reads the store on behalf of this one did not respond, or cannot reach the store; this host reads the store directly for a while.",
 		Action: "None; if this persists, check that host.",
 	}
+	StoreRestored = Event{
+		Number: 220,
+		Name:   "store-restored",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"era",
+		},
+		Cause:  "The store came back from an older copy of its objects; its writes of the last seconds are gone, and its revisions start again from those of the copy.",
+		Action: "Check that the configuration, the evacuations and the servers in the store are as intended.",
+	}
 	ServerLimited = Event{
 		Number: 218,
 		Name:   "server-limited",
--- a/observe/list.go
+++ b/observe/list.go
@@ -25,6 +25,7 @@
 		StoreReaderUnavailable,
 		ServerLimited,
 		ServerLimitEnded,
+		StoreRestored,
 		PeerUnreachable,
 		MachineListUnreadable,
 		AllocationSyncFailed,
