Tell the versions of a restored store from those before

Callers saw: after the store came back from an older copy, a route that was added and confirmed was not served, and requests on routes with homes reached other regions.

A restored store gives revisions out again, so a new change looks old, and a watch from a revision that now belongs to another change misses it.

Change: a version holds the era of the store and its revision, so each version after a restore is higher than all before. Only the platform's client puts them together and takes them apart; what compares versions (followers, heartbeats, copies from other hosts) stays as it is. A watch from an earlier era counts as one whose history is gone, and hosts list all prefixes at once when they see the era rise.

--- a/internal/host/followers.go
+++ b/internal/host/followers.go
@@ -80,6 +80,15 @@
 	}
 }
 
+// handleRestore makes all followers list again, because the store has come back from an older
+// copy of its objects. A watch that waits does not report what has changed with that.
+func (h *host) handleRestore(era uint64) {
+	h.log.Write(observe.StoreRestored, zap.Uint64("era", era))
+	for _, follower := range h.followers {
+		follower.Refresh()
+	}
+}
+
 // watchWait returns how long a watch waits for changes. One host per region reads the
 // store. Each waits the interval times the number of regions, so that on average one of them
 // starts a new watch per interval, but at most [objectstore.DefaultWatchWait].
@@ -133,15 +142,15 @@
 }
 
 // setConfiguration puts a configuration in force if it is newer than the current one. The
-// revision is that of its object in the store.
-func (h *host) setConfiguration(configuration routing.Configuration, revision objectstore.Version) {
+// stored version is that of its object in the store.
+func (h *host) setConfiguration(configuration routing.Configuration, stored objectstore.Version) {
 	if !h.handler.SetConfiguration(routing.NewIndex(configuration)) {
 		return
 	}
 	h.pool.SetServices(configuration.Services)
 	h.limiter.SetTeams(configuration.Teams)
 	h.log.Write(observe.ConfigurationApplied, zap.Uint64("version", uint64(configuration.Version)),
-		zap.Uint64("revision", uint64(revision)))
+		zap.Uint64("era", stored.Era()), zap.Uint64("revision", stored.Revision()))
 }
 
 // logInvalid logs an object of the store that is invalid, once for each of its
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -112,10 +112,8 @@
 		startedAt:   time.Now(),
 		log:         log,
 		store: &platform.StoreClient{
-			Address: func() netip.AddrPort { return h.settings().StoreAddress },
-			OnRestore: func(era uint64) {
-				log.Write(observe.StoreRestored, zap.Uint64("era", era))
-			},
+			Address:   func() netip.AddrPort { return h.settings().StoreAddress },
+			OnRestore: func(era uint64) { h.handleRestore(era) },
 		},
 		pool: &placement.Pool{
 			Host:   settings.Host,
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -45,10 +45,6 @@
 // MaxValueSize is the largest value that the store accepts, in bytes.
 const MaxValueSize = 1 << 20
 
-// Version numbers the writes of the store. It grows with each write to any
-// key, so the versions of one key grow too. Zero means "no version".
-type Version uint64
-
 // Object is one value of the store at one version.
 type Object struct {
 	Key   string `json:"key"`
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -176,9 +176,10 @@
 		Level:  zapcore.InfoLevel,
 		Fields: []string{
 			"version",
+			"era",
 			"revision",
 		},
-		Cause:  "The host applied a newer version of the operators' configuration; revision is that of its object in the store.",
+		Cause:  "The host applied a newer version of the operators' configuration; revision is that of its object in the store, and era that of the store, which rises by one each time it comes back from an older copy.",
 		Action: "None.",
 	}
 	ZonesEvacuated = Event{
