Take no older states back when the store is restored

Same class as the incident of the restored store: what hosts know was replaced by an older state because the store said so.

Change: a follower has a policy for restores. An object that tells an older state than the known one is not taken (configurations by their version, servers by the sequence of their registrations); what the copy lacks is kept for 2 s, as after an outage; what had been removed is left out for 5 s, in which objects of servers that have left expire, and listed again then. What is written after the restore takes effect at once. Followers of other hosts get the newer state, also those that have just started.

Tests, both failed with the states taken as before: TestRestoredStoreBringsNoOlderStateBack, TestWritesRepeatedAfterARestoreBringNoOlderStateBack (value 2 after 4).

--- a/internal/host/followers.go
+++ b/internal/host/followers.go
@@ -28,6 +28,8 @@
 	h.addFollower(platform.ServerPrefix, h.applyServers, refreshInterval, batchDelay)
 	// Only servers renew their objects; all other objects stay until they are removed.
 	h.followers[platform.ServerPrefix].GracePeriod = serverRenewalGrace
+	h.followers[platform.ServerPrefix].Restore.Order = platform.OrderServers
+	h.followers[platform.ConfigurationPrefix].Restore.Order = platform.OrderConfigurations
 	h.addFollower(platform.EvacuationPrefix, h.applyEvacuations, refreshInterval, 0)
 	h.addFollower(hostRecordPrefix, h.applyHosts, hostRefreshInterval, batchDelay)
 }
@@ -46,6 +48,14 @@
 // the object disappeared during an outage of the store.
 const serverRenewalGrace = 2 * time.Second
 
+// After the store came back from an older copy, what it lacks is kept for restoreMissingTime, in
+// which its writers write it again. What had been removed is left out for restoreReturnedTime,
+// in which the objects of backend servers that have left expire.
+const (
+	restoreMissingTime  = 2 * time.Second
+	restoreReturnedTime = 5 * time.Second
+)
+
 // batchDelay is how long a host that reads the store waits after a watch that returned
 // changes, so that the next one returns many at once. It is used for prefixes with many
 // objects.
@@ -66,6 +76,10 @@
 		Prefix:     prefix,
 		WatchWait:  func() time.Duration { return h.watchWait(interval) },
 		BatchDelay: h.sources[prefix].nextBatchDelay,
+		Restore: objectstore.RestorePolicy{
+			MissingFor:  restoreMissingTime,
+			ReturnedFor: restoreReturnedTime,
+		},
 		OnChange: func(objects map[string]objectstore.Object) {
 			if apply(objects) {
 				h.peerMessenger.sendHeartbeatSoon()
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -47,6 +47,8 @@
 	// Set it for objects that expire unless their writers renew them. Zero drops the
 	// objects at once.
 	GracePeriod time.Duration
+	// Restore tells what to believe after the store came back from an older copy.
+	Restore RestorePolicy
 	// OnChange is called with all objects by key after each list, after
 	// ReplaceIfNewer, and after each watch in which an object changed or its grace
 	// period ended. It must be set, must not retain the map, and must not call the
@@ -85,6 +87,7 @@
 	// interrupt cancels the current call or delay.
 	interrupt context.CancelFunc
 	history   changeHistory
+	restore   restoreState
 }
 
 // Run keeps the copy up to date until the context ends.
@@ -103,7 +106,7 @@
 	defer cancel()
 	f.mu.Lock()
 	f.interrupt = cancel
-	after, needsList, wait := f.nextVersion, f.nextVersion == 0 || f.mustList, f.watchWait()
+	after, needsList, wait := f.nextVersion, f.nextVersion == 0 || f.mustList || f.mustListAgain(), f.watchWait()
 	f.mu.Unlock()
 	if needsList {
 		list, err := f.Source.Snapshot(callCtx, f.Prefix)
@@ -208,6 +211,9 @@
 	for _, removeAt := range f.removalTimes {
 		wait = min(wait, max(removeAt.Sub(f.now()), time.Millisecond))
 	}
+	if at := f.restore.listAgainAt; !at.IsZero() {
+		wait = min(wait, max(at.Sub(f.now()), time.Millisecond))
+	}
 	return wait
 }
 
@@ -221,17 +227,27 @@
 // applyList replaces the objects with those of a list. It keeps an object whose known
 // version is newer than the list.
 func (f *Follower) applyList(list VersionedObjects) {
+	f.noteRestore(list)
+	if f.mustListAgain() {
+		f.restore.listAgainAt = time.Time{}
+	}
 	listed := make(map[string]Object, len(list.Objects))
 	for _, o := range list.Objects {
-		listed[o.Key] = o
+		if _, isKnown := f.objects[o.Key]; isKnown || !f.isReturned(o) {
+			listed[o.Key] = o
+		}
 	}
 	for key, known := range f.objects {
 		o, isListed := listed[key]
 		switch {
 		case !isListed && known.Version <= list.Next:
-			f.removeOrSchedule(known, false)
+			f.removeOrSchedule(known, f.restore.isSince(f.now(), f.Restore.MissingFor))
 		case isListed && o.Version < known.Version:
 			listed[key] = known
+		case isListed && f.isOlderState(o, known):
+			// Other followers, which may not know the newer state, get it from this one.
+			known.Version = o.Version
+			listed[key] = known
 		}
 	}
 	if f.objects == nil {
@@ -261,7 +277,7 @@
 	for _, o := range changes.Objects {
 		f.lastChange = max(f.lastChange, o.Version)
 		known, isKnown := f.objects[o.Key]
-		if isKnown && o.Version < known.Version {
+		if isKnown && (o.Version < known.Version || !o.Deleted && f.isOlderState(o, known)) {
 			continue
 		}
 		changed = true
@@ -285,9 +301,9 @@
 // outage may have kept its writer from renewing it.
 func (f *Follower) removeOrSchedule(o Object, mayBeAlive bool) {
 	sinceRecovery := f.now().Sub(f.recoveredAt)
-	remaining := f.GracePeriod
+	remaining := max(f.GracePeriod, f.Restore.MissingFor)
 	if !mayBeAlive {
-		remaining -= sinceRecovery
+		remaining = f.GracePeriod - sinceRecovery
 		mayBeAlive = !f.recoveredAt.IsZero() && remaining > 0
 	}
 	mayBeAlive = mayBeAlive && remaining > 0
@@ -298,8 +314,7 @@
 		MayBeAlive: mayBeAlive,
 	})
 	if !mayBeAlive {
-		delete(f.objects, o.Key)
-		delete(f.removalTimes, o.Key)
+		f.drop(o.Key)
 		return
 	}
 	if f.removalTimes == nil {
@@ -318,13 +333,21 @@
 		if f.now().Before(removeAt) {
 			continue
 		}
-		delete(f.removalTimes, key)
-		delete(f.objects, key)
+		f.drop(key)
 		dropped = true
 	}
 	return dropped
 }
 
+// drop removes an object from the copy.
+func (f *Follower) drop(key string) {
+	if known, isKnown := f.objects[key]; isKnown {
+		f.restore.rememberRemoved(known, f.now())
+	}
+	delete(f.removalTimes, key)
+	delete(f.objects, key)
+}
+
 // backOff records a failed call and waits for the retry delay.
 func (f *Follower) backOff(ctx context.Context, err error) {
 	delayCtx, cancel := context.WithCancel(ctx)
