Pause before a list if the history for a watch is gone again

Callers saw nothing; the store got hundreds of calls a second.

Cause: a watch whose history is gone is followed by a list at once, and that by the next watch. Whatever keeps the watch from its history repeats that without end.

--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -84,6 +84,9 @@
 	// recoveredAt is when calls succeeded again after the last outage.
 	recoveredAt time.Time
 	retryDelay  time.Duration
+	// nextListDelay is how long to wait before the next list if the history for a watch is
+	// gone again; zero unless it was for the last watch. Only Run uses it.
+	nextListDelay time.Duration
 	// interrupt cancels the current call or delay.
 	interrupt context.CancelFunc
 	history   changeHistory
@@ -113,22 +116,28 @@
 		return f.handleResult(callCtx, list, err, f.applyList)
 	}
 	changes, err := f.Source.Watch(callCtx, f.Prefix, after, wait)
+	var gone *HistoryGoneError
+	switch isGone := errors.As(err, &gone); {
+	case isGone:
+		wait = f.nextListDelay
+		f.nextListDelay = min(max(2*wait, minRetryDelay), maxRetryDelay)
+		pause(callCtx, wait)
+	case err == nil:
+		f.nextListDelay = 0
+	}
 	err = f.handleResult(callCtx, changes, err, f.applyChanges)
-	if err == nil && len(changes.Objects) > 0 {
-		f.delayNextWatch(callCtx)
+	if err == nil && len(changes.Objects) > 0 && f.BatchDelay != nil {
+		pause(callCtx, f.BatchDelay())
 	}
 	return err
 }
 
-// delayNextWatch waits for BatchDelay so that the next watch returns several changes.
-func (f *Follower) delayNextWatch(callCtx context.Context) {
-	if f.BatchDelay == nil {
-		return
-	}
-	timer := time.NewTimer(f.BatchDelay())
+// pause waits for the duration or until the context ends.
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
-	case <-callCtx.Done():
+	case <-ctx.Done():
 	case <-timer.C:
 	}
 }
