Let relays pass on versions of the store that they lack

Cause: a relay told the hosts of its region the versions that it had read itself. A change that one region knew at 2.51 s was told to the reader of another region only after a relay there, which reads from that reader, had noticed that it was behind and had read the store. The reader lost power at 3.59 s, and its region had the change between 5.99 and 7.25 s.

Change: a digest holds the newest versions that the relay has heard of: to other regions those of its own region, to its own hosts those of all regions, so that nothing is passed on in a circle. A host that lacks one reads the store or copies, as before.

--- a/membership/digest.go
+++ b/membership/digest.go
@@ -66,10 +66,13 @@
 	// Quotas holds the reports that the receiver needs to divide the rates of teams.
 	Quotas  []HostQuota     `json:"quotas,omitempty"`
 	Regions []RegionSummary `json:"regions,omitempty"`
-	// StoreVersions, CrashReports and ServerLimits are those of the relay's own heartbeat.
+	// StoreVersions holds, by prefix of the store, the version of the latest change that any
+	// host of the relay's region knows, or for the hosts of that region, any host at all. The
+	// relay itself may lack that change.
 	StoreVersions map[string]objectstore.Version `json:"known,omitempty"`
-	CrashReports  []crashdetect.Report           `json:"losses,omitempty"`
-	ServerLimits  []placement.ServerLimit        `json:"limits,omitempty"`
+	// CrashReports and ServerLimits are those of the relay's own heartbeat.
+	CrashReports []crashdetect.Report    `json:"losses,omitempty"`
+	ServerLimits []placement.ServerLimit `json:"limits,omitempty"`
 	// RoundTrip is the shortest round-trip time from the relay to another region; zero if
 	// it knows none.
 	RoundTrip time.Duration `json:"round-trip,omitempty"`
--- a/membership/publisher.go
+++ b/membership/publisher.go
@@ -24,6 +24,9 @@
 	quotas    []HostQuota
 	summaries []RegionSummary
 	roundTrip time.Duration
+	// regionVersions and fleetVersions are those of [Roster.newestStoreVersions].
+	regionVersions storeVersions
+	fleetVersions  storeVersions
 }
 
 // hostList is a list of live hosts with versions, so that a target gets only what changed
@@ -46,10 +49,12 @@
 func (p *Publisher) Update(own Heartbeat, r *Roster) {
 	live, summaries := r.firstHand(own.Region)
 	roundTrip := r.RoundTripToNearestRegion(own.Region)
+	regionVersions, fleetVersions := r.newestStoreVersions(own)
 	now := r.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.own, p.roundTrip = own, roundTrip
+	p.regionVersions, p.fleetVersions = regionVersions, fleetVersions
 	p.quotas = p.quotas[:0]
 	p.reports = make(map[string]Heartbeat, len(live))
 	regionHosts, fleetHosts := []HostState{stateOf(own)}, []HostState{stateOf(own)}
@@ -102,7 +107,7 @@
 		Relay:         p.own.HostRecord,
 		Incarnation:   p.own.Incarnation,
 		Sequence:      p.sequence,
-		StoreVersions: p.own.StoreVersions,
+		StoreVersions: p.regionVersions,
 		CrashReports:  p.own.CrashReports,
 		ServerLimits:  p.own.ServerLimits,
 		RoundTrip:     p.roundTrip,
@@ -110,6 +115,7 @@
 	list := &p.region
 	if target.Region == p.own.Region {
 		list = &p.fleet
+		digest.StoreVersions = p.fleetVersions
 	}
 	digest.Base, digest.Version = p.acknowledged[target.Name], list.version
 	if digest.Base < list.oldestChange {
--- a/membership/relay_view.go
+++ b/membership/relay_view.go
@@ -20,9 +20,10 @@
 	version     uint64
 	receivedAt  time.Time
 	// hosts holds the names of the hosts that the relay counts as live.
-	hosts     map[string]struct{}
-	regions   []RegionSummary
-	roundTrip time.Duration
+	hosts         map[string]struct{}
+	regions       []RegionSummary
+	storeVersions storeVersions
+	roundTrip     time.Duration
 }
 
 // ReceiveDigest applies a digest. It returns false if the digest does not follow from the
@@ -50,6 +51,7 @@
 	}
 	view.incarnation, view.sequence, view.version, view.receivedAt = d.Incarnation, d.Sequence, d.Version, now
 	view.region, view.regions, view.roundTrip = d.Relay.Region, d.Regions, d.RoundTrip
+	view.storeVersions = d.StoreVersions
 	for _, state := range d.Hosts {
 		r.applyState(view, state)
 	}
