Repeat the limits of servers in few heartbeats only

Found by reading: each heartbeat and digest repeated all limits of the last 10 s. If all servers of a large service name one, that alone is more than a host has for control.

Change: a limit that was named, changed or ended is in each report for 3 s, and then in one every 4 s. Hosts report what servers told them; relays also what other hosts did.

--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -264,7 +264,7 @@
 		TeamShares:      h.limiter.Shares(),
 		RouteDemand:     h.handler.RouteDemand(),
 		CrashReports:    h.recentCrashReports(),
-		ServerLimits:    h.pool.ServerLimits(),
+		ServerLimits:    h.pool.ServerLimits(h.limitSource()),
 		CachedSlotTimes: h.pool.CachedSlotTimes(),
 		Utilization:     h.pool.Utilization(),
 		RemoteShares:    h.currentRemoteShares(),
@@ -312,6 +312,14 @@
 	}
 }
 
+// limitSource returns whose limits this host reports. A relay passes on those of all hosts.
+func (h *host) limitSource() placement.LimitSource {
+	if h.peerMessenger.isRelay.Load() {
+		return placement.AllLimits
+	}
+	return placement.OwnLimits
+}
+
 // addServerLimits applies what another host knows of the limits of backend servers.
 func (h *host) addServerLimits(limits []placement.ServerLimit) {
 	for _, change := range h.pool.AddServerLimits(limits) {
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -43,6 +43,12 @@
 	// observedAt is when the server sent the response from which the limit, or its end, is
 	// known, to this host or another one; zero if the server never named a limit.
 	observedAt time.Time
+	// isOwn is true if the response was sent to this host.
+	isOwn bool
+	// changedAt is when the limit was named, changed or ended, and reportedAt when it was last
+	// reported to other hosts.
+	changedAt  time.Time
+	reportedAt time.Time
 	// triedAt is when this host last sent a request without a token.
 	triedAt time.Time
 	// sent is how many requests this host sent to the server since it named the limit.
@@ -78,18 +84,21 @@
 func (p *Pool) RecordLimit(r *Reservation, report LimitReport) LimitChange {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return r.server.applyLimit(report, p.now())
+	now := p.now()
+	change := r.server.applyLimit(report, now, now)
+	r.server.limit.isOwn = true
+	return change
 }
 
-// applyLimit applies what the server said of its limit at a time.
-func (s *server) applyLimit(report LimitReport, observedAt time.Time) LimitChange {
+// applyLimit applies now what the server said of its limit at a time.
+func (s *server) applyLimit(report LimitReport, observedAt, now time.Time) LimitChange {
 	limit := &s.limit
 	switch named := report.(type) {
 	case LimitedTo:
 		isChange := !limit.isNamed || isOtherRate(limit.rate, named.Rate)
 		limit.isNamed, limit.observedAt = true, observedAt
 		if isChange {
-			limit.rate = named.Rate
+			limit.rate, limit.changedAt = named.Rate, now
 			// The share depends on the rate.
 			limit.generation = 0
 			return LimitNamed{
@@ -107,6 +116,7 @@
 		}
 		*limit = serverLimit{
 			observedAt: observedAt,
+			changedAt:  now,
 		}
 		return ended
 	}
@@ -185,6 +195,9 @@
 const (
 	// limitReportAge is for how long hosts repeat what a server said.
 	limitReportAge = 10 * time.Second
+	// A change is in each report for limitChangeTime, and then in one each limitReportInterval.
+	limitChangeTime     = 3 * time.Second
+	limitReportInterval = 4 * time.Second
 	// maxReportDelay is added to the age of what another host says, for the time in which
 	// its message was on its way. Without it, what comes back from other hosts would seem
 	// newer than it is.
@@ -205,17 +218,30 @@
 	Age time.Duration `json:"age"`
 }
 
-// ServerLimits returns the limits that servers named or ended lately.
-func (p *Pool) ServerLimits() []ServerLimit {
+// LimitSource says whose limits a host reports.
+type LimitSource int
+
+// The sources.
+const (
+	// OwnLimits are those in responses to this host.
+	OwnLimits LimitSource = iota
+	// AllLimits are also those that other hosts reported, for a host that passes reports on.
+	AllLimits
+)
+
+// ServerLimits returns the limits for the next report to other hosts: those that servers named
+// or ended a short time ago, and of the others those whose turn it is.
+func (p *Pool) ServerLimits(source LimitSource) []ServerLimit {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
 	var limits []ServerLimit
 	for _, s := range p.servers {
 		age := now.Sub(s.limit.observedAt)
-		if s.limit.observedAt.IsZero() || age > limitReportAge {
+		if source == OwnLimits && !s.limit.isOwn || !s.limit.isDue(now) {
 			continue
 		}
+		s.limit.reportedAt = now
 		limits = append(limits, ServerLimit{
 			Server:  s.Name,
 			Started: s.Started,
@@ -227,6 +253,14 @@
 	return limits
 }
 
+// isDue reports whether the limit, or its end, is to be part of the next report.
+func (l *serverLimit) isDue(now time.Time) bool {
+	if l.observedAt.IsZero() || now.Sub(l.observedAt) > limitReportAge {
+		return false
+	}
+	return now.Sub(l.changedAt) <= limitChangeTime || now.Sub(l.reportedAt) >= limitReportInterval
+}
+
 // AddServerLimits applies what another host knows of the limits of servers, where it is newer
 // than what this host knows. It returns the changes.
 func (p *Pool) AddServerLimits(limits []ServerLimit) []LimitChange {
@@ -240,9 +274,10 @@
 		if !isListed || !s.Started.Equal(limit.Started) || !observedAt.After(s.limit.observedAt) {
 			continue
 		}
-		if change := s.applyLimit(limit.report(), observedAt); change != nil {
+		if change := s.applyLimit(limit.report(), observedAt, now); change != nil {
 			changes = append(changes, change)
 		}
+		s.limit.isOwn = false
 	}
 	return changes
 }
--- a/placement/limit_test.go
+++ b/placement/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -132,7 +133,7 @@
 // shareLimits makes each host tell the others what it knows of limits.
 func (f *limitedFleet) shareLimits() {
 	for _, from := range f.pools {
-		limits := from.ServerLimits()
+		limits := from.ServerLimits(placement.AllLimits)
 		for _, to := range f.pools {
 			if to != from {
 				to.AddServerLimits(limits)
@@ -231,7 +232,7 @@
 		f.shareLimits()
 	}
 	for _, pool := range f.pools {
-		for _, limit := range pool.ServerLimits() {
+		for _, limit := range pool.ServerLimits(placement.AllLimits) {
 			require.True(t, limit.Ended, "%s: %v", pool.Host, limit)
 		}
 	}
@@ -281,3 +282,33 @@
 	f.run(6*time.Second, 500)
 	require.LessOrEqual(t, float64(f.mostIn("accra-0", 4*time.Second, started)), rate*4*1.5+5)
 }
+
+// TestLimitsTakeLittleOfHeartbeats guards against heartbeats that repeat the limits of all
+// servers. A host has 16 KB/s for control; limits may take a quarter of that, in two heartbeats
+// a second to two relays each.
+func TestLimitsTakeLittleOfHeartbeats(t *testing.T) {
+	const (
+		maxBytesPerSecond = 16 << 10 / 4
+		targets           = 2
+		seconds           = 5
+	)
+	servers := newServers(map[string]int{"accra": 243, "kumasi": 243, "tamale": 243})
+	f := newLimitedFleet(5, hostNames(map[string]int{"accra": 40, "kumasi": 39, "tamale": 39}), servers)
+	for _, s := range servers {
+		f.limits[s.Name] = 6.8
+	}
+	f.run(4*time.Second, 500)
+	f.shareLimits()
+	sent := make(map[*placement.Pool]int)
+	for range 2 * seconds {
+		f.run(500*time.Millisecond, 500)
+		for _, pool := range f.pools {
+			limits, err := json.Marshal(pool.ServerLimits(placement.OwnLimits))
+			require.NoError(t, err)
+			sent[pool] += targets * len(limits)
+		}
+	}
+	for pool, bytes := range sent {
+		require.LessOrEqual(t, bytes/seconds, maxBytesPerSecond, pool.Host)
+	}
+}
