--- a/placement/cold.go
+++ b/placement/cold.go
@@ -11,12 +11,12 @@
 
 // Only a few hosts, the senders, may send requests to a cold server. They must be few
 // because each of them has a burst of coldBurst besides its share of the rate. There are a few
-// for any rate, and one more for each coldRatePerSender of it.
+// for any rate, and one more for each coldSenderRate of it.
 const (
 	minColdSenders = 4
 	maxColdSenders = 9
-	// coldRatePerSender is in requests per second.
-	coldRatePerSender = 2
+	// coldSenderRate is in requests per second.
+	coldSenderRate = 2
 	// localColdSenders is the fraction of the senders that are in the server's region.
 	localColdSenders = 2.0 / 3
 	// localSendersShare is the fraction of the rate that a server accepts that the senders
@@ -68,7 +68,7 @@
 // Without the division among hosts, a zone of servers that restart cold would
 // receive requests from all hosts at once.
 func ColdRateShare(host, region, server string, rate float64, hosts map[string][]string) float64 {
-	senders := int(min(minColdSenders+rate/coldRatePerSender, maxColdSenders))
+	senders := int(min(minColdSenders+rate/coldSenderRate, maxColdSenders))
 	local := int(localColdSenders * float64(senders))
 	return rateShare(host, region, server, hosts, local, senders-local)
 }
