Review case 2: a host that loses its links to servers has orders refused everywhere

Cause: when connections break, the crash detector asks over the same broken links whether the servers are there, takes them as crashed by the requests under way, and broadcasts that. Every host then rejects equal requests for ten minutes, since only a response to one could clear it.

The case: one of three hosts is partitioned from all servers for 8 s; its connections are reset and new ones refused. The clients of its zone send equal orders (unsafe, without a body).

--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -35,10 +35,12 @@
 
 // attempt is one client attempt.
 type attempt struct {
-	id       string
-	method   string
-	path     string
-	body     string
+	id     string
+	method string
+	path   string
+	body   string
+	// object is what the request concerns.
+	object   int
 	deadline time.Duration
 	// endSending, if it is positive, is after what time the client closes its sending side. It goes
 	// on reading.
@@ -60,8 +62,8 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(a.deadline))
-	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nConnection: close\r\n",
-		a.method, a.path, virtual, a.id, a.deadline.Milliseconds(), key)
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Token %s\r\nCookie: X-Affinity-Key=%d\r\nConnection: close\r\n",
+		a.method, a.path, virtual, a.id, a.deadline.Milliseconds(), key, a.object)
 	if a.method != http.MethodGet {
 		request += fmt.Sprintf("Content-Length: %d\r\n", len(a.body))
 	}
--- a/review/_standin/host.go
+++ b/review/_standin/host.go
@@ -71,7 +71,7 @@
 }
 
 // configure writes the settings, as the template of the deploy file gives them.
-func (h *Host) configure(store string, seeds []string, isFirst bool) {
+func (h *Host) configure(store string, seeds []string, isFirst bool, grace time.Duration) {
 	content, err := json.Marshal(map[string]any{
 		"host":            h.name,
 		"region":          h.region,
@@ -85,7 +85,7 @@
 		"first-start":     isFirst,
 		"store":           store,
 		"look-up-seconds": 5,
-		"grace-seconds":   6,
+		"grace-seconds":   grace.Seconds(),
 		"quota-overshoot": 0.1,
 		"quota-slack":     20,
 		"log-level":       "info",
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,6 +22,12 @@
 	hosts   []*Host
 	servers []*Server
 	trouble bool
+	// grace is GraceS.
+	grace time.Duration
+	// isStopping is true once a host was told to stop.
+	isStopping bool
+	// storeOf holds the addresses at which some hosts read the store.
+	storeOf map[string]string
 }
 
 var current *world
@@ -61,6 +67,7 @@
 		folder:  folder,
 		store:   newStore(),
 		trouble: trouble,
+		grace:   6 * time.Second,
 	}
 	current = w
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -87,7 +94,7 @@
 	for _, r := range routes {
 		paths = append(paths, map[string]any{
 			"Name": "r-" + r.name, "PathPrefix": "/" + r.name + "/", "Kind": r.kind, "TimeoutS": r.timeout, "TargetLatencyS": r.target,
-			"Priority": 1, "Service": r.service, "MaxAttempts": 2, "AllowAnonymous": false, "Affinity": false, "AllowedRegions": []string{},
+			"Priority": 1, "Service": r.service, "MaxAttempts": 2, "AllowAnonymous": false, "Affinity": true, "AllowedRegions": []string{},
 		})
 	}
 	for _, s := range services {
@@ -117,15 +124,22 @@
 		}
 	}
 	for _, h := range w.hosts {
-		h.configure(w.address, seeds, true)
+		h.configure(w.storeFor(h), seeds, true, w.grace)
 		h.start()
 	}
 	awaitReady(w.hosts, 20*time.Second)
 	for _, h := range w.hosts {
-		h.configure(w.address, seeds, false)
+		h.configure(w.storeFor(h), seeds, false, w.grace)
 	}
 }
 
+func (w *world) storeFor(h *Host) string {
+	if address, isSet := w.storeOf[h.name]; isSet {
+		return address
+	}
+	return w.address
+}
+
 // startServers starts servers of a service in each zone.
 func (w *world) startServers(service string, perZone, slots int, workTime time.Duration) {
 	for _, zone := range []string{"a1", "b1", "c1"} {
@@ -151,6 +165,8 @@
 	run := map[string]func(*world) bool{
 		"half-close": halfClose,
 		"restart":    restart,
+		"partition":  partition,
+		"stop":       stop,
 	}[*name]
 	if run == nil {
 		fail("no such case: " + *name)
--- a/review/_standin/server.go
+++ b/review/_standin/server.go
@@ -25,9 +25,12 @@
 	address  string
 	slot     chan struct{}
 	mu       sync.Mutex
-	waiting  int
+	held     int
 	running  int
 	sequence int
+	// onRun, if it is set, is told of the begin ("run"), the end ("ran") and the break ("dropped") of
+	// each run.
+	onRun func(id, what string)
 }
 
 func startServer(record *Record, id, service, zone string, slots int, workTime time.Duration) *Server {
@@ -53,7 +56,7 @@
 // heartbeats writes the server's entry into the store until the process ends.
 func (s *Server) heartbeats(store *Store) {
 	for {
-		s.sequence++
+		s.sequence = 1 // An entry changes only when more than its sequence changes.
 		store.Put("servers", s.id, map[string]any{
 			"Address": s.address,
 			"Info":    map[string]any{"Service": s.service, "Version": "v1", "Zone": s.zone, "Slots": s.slots},
@@ -64,12 +67,14 @@
 	}
 }
 
-func (s *Server) count(waiting, running int) string {
+// count changes how many requests the server holds and runs, and returns its load: those that run and
+// those that wait, and its slots.
+func (s *Server) count(held, running int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waiting += waiting
+	s.held += held
 	s.running += running
-	return fmt.Sprintf("%d,%d,%d", s.running, s.waiting, s.slots)
+	return fmt.Sprintf("%d,%d,%d", s.running, s.held-s.running, s.slots)
 }
 
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -104,22 +109,29 @@
 	defer func() { <-s.slot }()
 	s.count(0, 1)
 	defer func() { s.count(0, -1) }()
-	s.record.Add("run", id, s.id)
+	s.tell("run", id)
 	select {
 	case <-time.After(s.workTime):
 	case <-r.Context().Done():
-		s.record.Add("dropped", id, s.id)
+		s.tell("dropped", id)
 		return
 	}
 	answer := fmt.Sprintf("%s ran %s with %d bytes %s", s.id, id, len(body), s.body)
 	w.Header().Set("X-Server-Load", s.count(0, 0))
 	w.Header().Set("X-Response-Seal", fmt.Sprintf("%x.%s", len(answer), id))
 	_, _ = io.WriteString(w, answer)
-	s.record.Add("ran", id, s.id)
+	s.tell("ran", id)
 }
 
 func (s *Server) waitingNow() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.waiting - s.running
+	return s.held - s.running
+}
+
+func (s *Server) tell(what, id string) {
+	s.record.Add(what, id, s.id)
+	if s.onRun != nil {
+		s.onRun(id, what)
+	}
 }
