--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -167,6 +167,7 @@
 		"restart":    restart,
 		"partition":  partition,
 		"stop":       stop,
+		"foreign":    foreign,
 	}[*name]
 	if run == nil {
 		fail("no such case: " + *name)
