Log a host's part of the rates and which hosts keep it from a larger one

Cause: the logs did not tell apart why a host is not ready after a restart: no configuration, no servers, or no part of the teams' rates, and in the last case whose agreement is missing.

Change: event 310 says when a host's part changes, what it should be, and which hosts it waits for.

Ruled out: missing configuration or servers, since all hosts had both.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -95,6 +95,7 @@
 	senders map[string][]string
 	// lastRegionShareLog is when the remote and local shares were last logged.
 	lastRegionShareLog time.Time
+	lastPartLog        partLog
 }
 
 // invalidObjects holds the invalid objects of the store that were logged, with the
--- a/internal/host/loans.go
+++ b/internal/host/loans.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,6 +57,46 @@
 		division.IsConfirmed = division.IsConfirmedBy(records.own.Holders, h.memberReports(members))
 	}
 	h.limiter.SetDivision(division)
+	h.logPart(division, members)
+}
+
+// partLog is what was last logged of this host's part of the teams' rates.
+type partLog struct {
+	part     float64
+	target   float64
+	hosts    int
+	waitsFor string
+}
+
+// logPart logs this host's part of the teams' rates, and the members that keep it from the one that
+// it should have, if that has changed.
+func (h *host) logPart(division quota.Division, members []membership.HostRecord) {
+	part, target := h.limiter.Part()
+	current := partLog{
+		part:   part,
+		target: target,
+		hosts:  len(members),
+	}
+	if part != target {
+		current.waitsFor = strings.Join(h.unconfirmed(division, members), ",")
+	}
+	if current == h.lastPartLog {
+		return
+	}
+	h.lastPartLog = current
+	h.log.Write(observe.RatePartChanged, zap.Float64("part", part), zap.Float64("target", target),
+		zap.Int("hosts", current.hosts), zap.String("waits-for", current.waitsFor))
+}
+
+// unconfirmed returns the names of the members that have not confirmed the division.
+func (h *host) unconfirmed(division quota.Division, members []membership.HostRecord) []string {
+	var names []string
+	for _, m := range members {
+		if m.Name != h.settings().Host && !division.IsConfirmedBy(0, h.memberReports([]membership.HostRecord{m})) {
+			names = append(names, m.Name)
+		}
+	}
+	return names
 }
 
 // members returns the records of all hosts that may be running, with this one: those that have a
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -324,6 +324,19 @@
 		Cause:  "Another host did not respond to a request for a loan of the teams' rates, or its request could not be decoded; it lends or gets nothing until the next request.",
 		Action: "None; heartbeats detect whether that host is down.",
 	}
+	RatePartChanged = Event{
+		Number: 310,
+		Name:   "rate-part-changed",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"part",
+			"target",
+			"hosts",
+			"waits-for",
+		},
+		Cause:  "This host's part of the teams' rates changed, or it may not yet use all of the part that it should have among the hosts that may be running; waits-for names the hosts that keep it from that.",
+		Action: "If part stays zero, check the hosts that it waits for; if they are gone for good, remove their records from the store.",
+	}
 	HeartbeatUnreadable = Event{
 		Number: 306,
 		Name:   "beat-unreadable",
--- a/observe/list.go
+++ b/observe/list.go
@@ -41,6 +41,7 @@
 		RegionSharesLogged,
 		TokenRequestFailed,
 		LoanRequestFailed,
+		RatePartChanged,
 		RequestRejected,
 		RequestOutcomeUnknown,
 		ResponseIncomplete,
--- a/quota/division.go
+++ b/quota/division.go
@@ -117,6 +117,13 @@
 	return l.division.hash(), l.part == l.division.part()
 }
 
+// Part returns this host's part of each rate, and the one that it should have among the holders.
+func (l *Limiter) Part() (part, target float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.part, l.division.part()
+}
+
 // part returns this host's part of each rate among the holders.
 func (d *Division) part() float64 {
 	if !slices.Contains(d.Holders, d.Self) {
