Keep a host's part of the rates through a restart after the fleet shrank

Cause: a part counted only if the hash of the holders in the host's record was that of the present ones, or if every other member had reported the present hash. A silent member with a record never does. So a host that started again lost its part, though nobody had taken it; for the same reason no part grew and no new host got one once a host was lost.

Ruled out: configuration, servers and the store, which all hosts had. To count a silent member as one that agrees was ruled out too: one that is only cut off would have its part used twice.

Change: a host's record states its part. A host uses no more than that, and more than before only after a list of all records, read after its write, adds up to no more than the whole. Two hosts that claim the same fraction can't both pass that. A silent host keeps what its record states, the others divide the rest, and a host that starts again has the part of its record. Related paths: new hosts, senders to cold servers, holders in large fleets, hosts that have stopped and are replaced.

Failed before: on TestFleetThatShrankServesAfterARestart ("ready: Condition never satisfied") and TestNewHostGetsAPartWhileAnotherIsLost ("the new host has its part: Condition never satisfied").

Tests replaced: TestPartsFitWhileHostsJoinAndLeave by TestPartsFitWhileHostsComeAndGo, which asks for the same and adds hosts that are lost, cut off, and writes of unknown outcome; TestHostThatNeverHadAPartHoldsNobodyUp keeps its name for the new decision. The recorded record has the new fields.

--- a/bufferproxy/handler_test.go
+++ b/bufferproxy/handler_test.go
@@ -218,10 +218,10 @@
 	limiter.SetTeams(configuration().Teams)
 	// There are no other hosts, so that this host has the whole rate of each team.
 	limiter.SetDivision(quota.Division{
-		Self:        "accra-1",
-		Members:     []string{"accra-1"},
-		Holders:     []string{"accra-1"},
-		IsConfirmed: true,
+		Self:    "accra-1",
+		Members: []string{"accra-1"},
+		Holders: []string{"accra-1"},
+		Part:    1,
 	})
 	// After a minute each team has the tokens of its whole burst.
 	now = now.Add(time.Minute)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -82,6 +82,10 @@
 	// joined is that of this host's record: of the one that the store has from before a restart,
 	// or a new one.
 	joined atomic.Uint64
+	// part is this host's part of the teams' rates.
+	part ratePart
+	// recordDue holds an element if this host's record may need a change soon.
+	recordDue chan struct{}
 	// loanNeeded holds an element if the host is to ask for loans soon.
 	loanNeeded   chan struct{}
 	crashReports crashReportQueue
@@ -128,6 +132,7 @@
 		},
 		limiter:    &quota.Limiter{},
 		loanNeeded: make(chan struct{}, 1),
+		recordDue:  make(chan struct{}, 1),
 		roster: &membership.Roster{
 			Self: settings.Host,
 		},
--- a/internal/host/loans.go
+++ b/internal/host/loans.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,74 +30,6 @@
 	maxLoanBytes = 1 << 20
 )
 
-// updateDivision sets among which hosts the teams' rates are divided: all that may be running,
-// and in a large fleet the holders among them.
-func (h *host) updateDivision() {
-	members := h.members()
-	division := quota.Division{
-		Self:      h.settings().Host,
-		IsRestart: !h.settings().FirstStart,
-		Joined:    make(map[string]uint64),
-	}
-	byRegion := make(map[string][]string)
-	for _, m := range members {
-		division.Members = append(division.Members, m.Name)
-		division.Joined[m.Name] = m.Joined
-		byRegion[m.Region] = append(byRegion[m.Region], m.Name)
-	}
-	// The holders follow from the members alone, so that hosts that know the same members agree.
-	division.Holders = division.Members
-	if len(members) > membership.MaxDirectHosts {
-		division.Holders = quota.SelectHolders(byRegion)
-	}
-	// A host whose record the store does not have, or has as that of a stopped one, may not count
-	// for the others.
-	if records := h.records.Load(); records != nil && records.own.Name != "" && !records.own.Stopped {
-		division.IsConfirmed = division.IsConfirmedBy(records.own.Holders, h.memberReports(members))
-	}
-	h.limiter.SetDivision(division)
-	h.logPart(division, members)
-}
-
-// partLog is what was last logged of this host's part of the teams' rates.
-type partLog struct {
-	part     float64
-	target   float64
-	hosts    int
-	waitsFor string
-}
-
-// logPart logs this host's part of the teams' rates, and the members that keep it from the one that
-// it should have, if that has changed.
-func (h *host) logPart(division quota.Division, members []membership.HostRecord) {
-	part, target := h.limiter.Part()
-	current := partLog{
-		part:   part,
-		target: target,
-		hosts:  len(members),
-	}
-	if part != target {
-		current.waitsFor = strings.Join(h.unconfirmed(division, members), ",")
-	}
-	if current == h.lastPartLog {
-		return
-	}
-	h.lastPartLog = current
-	h.log.Write(observe.RatePartChanged, zap.Float64("part", part), zap.Float64("target", target),
-		zap.Int("hosts", current.hosts), zap.String("waits-for", current.waitsFor))
-}
-
-// unconfirmed returns the names of the members that have not confirmed the division.
-func (h *host) unconfirmed(division quota.Division, members []membership.HostRecord) []string {
-	var names []string
-	for _, m := range members {
-		if m.Name != h.settings().Host && !division.IsConfirmedBy(0, h.memberReports([]membership.HostRecord{m})) {
-			names = append(names, m.Name)
-		}
-	}
-	return names
-}
-
 // members returns the records of all hosts that may be running, with this one: those that have a
 // record, also if it says that they have stopped, and those that were heard from lately.
 func (h *host) members() []membership.HostRecord {
@@ -109,49 +40,15 @@
 		isHeard[peer.Name] = true
 	}
 	if records := h.records.Load(); records != nil {
-		for name, stopped := range records.stopped {
-			if !isHeard[name] {
-				members = append(members, stopped.record)
+		for name, known := range records.known {
+			if known.record.Stopped && !isHeard[name] {
+				members = append(members, known.record.HostRecord)
 			}
 		}
 	}
 	return append(members, h.roster.SilentPeers()...)
 }
 
-// memberReports returns what the other members last reported, empty for those that were not heard
-// from lately.
-func (h *host) memberReports(members []membership.HostRecord) []quota.MemberReport {
-	heard := make(map[string]membership.Heartbeat)
-	for _, peer := range h.roster.RecentPeers() {
-		heard[peer.Name] = peer
-	}
-	var reports []quota.MemberReport
-	for _, m := range members {
-		if m.Name == h.settings().Host {
-			continue
-		}
-		peer, isHeard := heard[m.Name]
-		reports = append(reports, quota.MemberReport{
-			Divides:   m.Lends,
-			Holders:   peer.Holders,
-			HasNoPart: !isHeard && h.neverHadPart(m.Name),
-		})
-	}
-	return reports
-}
-
-// neverHadPart reports whether a silent host has never had a part of the teams' rates: its record
-// names no holders, for so long that it would have written them or forgotten what this host
-// reported.
-func (h *host) neverHadPart(name string) bool {
-	records := h.records.Load()
-	if records == nil {
-		return false
-	}
-	since := records.withoutPart[name]
-	return !since.IsZero() && time.Since(since) > membership.RetentionTime
-}
-
 // borrowShares asks the holders of the teams' rates for loans until the context ends.
 func (p *peerMessenger) borrowShares(ctx context.Context) {
 	for ctx.Err() == nil {
--- /dev/null
+++ b/internal/host/parts.go
@@ -0,0 +1,207 @@
+package host
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"trefoilline.example/trefoilline/membership"
+	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/quota"
+)
+
+// ratePart is this host's part of the teams' rates.
+type ratePart struct {
+	mu    sync.Mutex
+	claim quota.PartClaim
+	// isResumed is true if an earlier process of this host had the part, so that the others
+	// count this host already.
+	isResumed bool
+}
+
+// usable returns the part that this host may use, and whether it is the one that it should have.
+func (p *ratePart) usable(target quota.TargetPart) (part int, isSettled bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claim.Usable(target), p.claim.IsSettled(target)
+}
+
+// setStated sets the part that this host's record states.
+func (p *ratePart) setStated(part int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.claim.SetStated(part)
+}
+
+// updateDivision sets among which hosts the teams' rates are divided: all that may be running,
+// and in a large fleet the holders among them.
+func (h *host) updateDivision() {
+	members := h.members()
+	division := quota.Division{
+		Self:      h.settings().Host,
+		IsRestart: !h.settings().FirstStart,
+		Joined:    make(map[string]uint64),
+	}
+	for _, m := range members {
+		division.Members = append(division.Members, m.Name)
+		division.Joined[m.Name] = m.Joined
+	}
+	division.Holders = h.holders(members)
+	states := h.memberStates(members, division.Holders)
+	target := h.targetPart(states)
+	part, isSettled := h.part.usable(target)
+	division.Part = float64(part) / quota.WholePart
+	division.IsAgreed = isSettled && h.isCountedBy(states, division.Hash())
+	h.limiter.SetDivision(division)
+	if part != h.lastPartLog.part {
+		h.checkRecordSoon()
+	}
+	h.logPart(part, target, states)
+}
+
+// holders returns the names of the members that are to have a part of the teams' rates. They follow
+// from the members alone, so that hosts that know the same members agree. In a large fleet no
+// host is selected that has failed.
+func (h *host) holders(members []membership.HostRecord) []string {
+	var names []string
+	byRegion := make(map[string][]string)
+	for _, m := range members {
+		names = append(names, m.Name)
+		if !h.hasFailed(m.Name) {
+			byRegion[m.Region] = append(byRegion[m.Region], m.Name)
+		}
+	}
+	if len(names) > membership.MaxDirectHosts {
+		return quota.SelectHolders(byRegion)
+	}
+	return names
+}
+
+// hasFailed reports whether a host has a record, which does not say that it has stopped, but was not
+// heard from for long.
+func (h *host) hasFailed(name string) bool {
+	records := h.records.Load()
+	if records == nil || name == h.settings().Host {
+		return false
+	}
+	known, isKnown := records.known[name]
+	return isKnown && !known.record.Stopped && h.memberState(name, known) == quota.MemberSilent
+}
+
+// memberStates returns what this host knows of the members' parts of the teams' rates.
+func (h *host) memberStates(members []membership.HostRecord, holders []string) []quota.Member {
+	records := h.records.Load()
+	if records == nil {
+		records = &hostRecords{}
+	}
+	var states []quota.Member
+	for _, m := range members {
+		known := records.known[m.Name]
+		state := quota.Member{
+			Name:     m.Name,
+			State:    h.memberState(m.Name, known),
+			Stated:   known.record.statedPart(m.Name, holders),
+			IsHolder: slices.Contains(holders, m.Name),
+		}
+		if m.Name == h.settings().Host {
+			state.State, state.Stated = quota.MemberActive, h.part.stated()
+		}
+		if known.record.isOfEarlierBuild() {
+			// It does not follow the same rules, and uses the same part whatever the others do.
+			state.State = quota.MemberSilent
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+// memberState returns whether another host divides the rates, given its record.
+func (h *host) memberState(name string, known knownRecord) quota.MemberState {
+	peer, isHeard := h.roster.RecentPeer(name)
+	switch {
+	case known.record.Stopped, isHeard && peer.Draining:
+		return quota.MemberSilent
+	case isHeard:
+		return quota.MemberActive
+	case time.Since(known.since) > membership.RetentionTime:
+		return quota.MemberSilent
+	}
+	return quota.MemberUnknown
+}
+
+// stated returns the part that this host's record states.
+func (p *ratePart) stated() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claim.Stated()
+}
+
+// targetPart returns the part that this host should have. Hosts of earlier builds count on equal
+// parts, so none has more while there are some.
+func (h *host) targetPart(states []quota.Member) quota.TargetPart {
+	target := quota.NewTargetPart(h.settings().Host, states)
+	records := h.records.Load()
+	if records == nil || !records.hasEarlierBuild() {
+		return target
+	}
+	holders := 0
+	for _, m := range states {
+		if m.IsHolder {
+			holders++
+		}
+	}
+	equal := quota.WholePart / max(1, holders)
+	return quota.TargetPart{
+		Low:  min(target.Low, equal),
+		High: min(target.High, equal),
+	}
+}
+
+// isCountedBy reports whether the members that are not silent count on the holders with this hash,
+// and so know this host.
+func (h *host) isCountedBy(states []quota.Member, hash uint64) bool {
+	h.part.mu.Lock()
+	isResumed := h.part.isResumed
+	h.part.mu.Unlock()
+	for _, m := range states {
+		if m.Name == h.settings().Host || m.State == quota.MemberSilent {
+			continue
+		}
+		peer, isHeard := h.roster.RecentPeer(m.Name)
+		if isHeard && peer.Lends && peer.Holders != hash || !isHeard && !isResumed {
+			return false
+		}
+	}
+	return true
+}
+
+// partLog is what was last logged of this host's part of the teams' rates.
+type partLog struct {
+	part   int
+	stated int
+	target quota.TargetPart
+}
+
+// logPart logs this host's part of the teams' rates if it has changed, with what this host knows of
+// the others that have one.
+func (h *host) logPart(part int, target quota.TargetPart, states []quota.Member) {
+	current := partLog{
+		part:   part,
+		stated: h.part.stated(),
+		target: target,
+	}
+	if current == h.lastPartLog {
+		return
+	}
+	h.lastPartLog = current
+	var others []string
+	for _, m := range states {
+		if m.Name != h.settings().Host && (m.IsHolder || m.Stated > 0) {
+			others = append(others, m.String())
+		}
+	}
+	h.log.Write(observe.RatePartChanged, zap.Int("part", part), zap.Int("stated", current.stated),
+		zap.Int("least", target.Low), zap.Int("most", target.High), zap.Strings("others", others))
+}
--- a/internal/host/records.go
+++ b/internal/host/records.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,17 +14,72 @@
 	"trefoilline.example/trefoilline/membership"
 	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/quota"
 )
 
 // storedRecord is a host's record as the store has it.
 type storedRecord struct {
 	membership.HostRecord
-	// Holders is the hash of the hosts among which the host had its part of the teams' rates.
-	// After a restart it has that part again without asking the others, which may be down.
+	// StatesPart is true if Part says which part of the teams' rates the host may use. A host of an
+	// earlier build does not state its part.
+	StatesPart bool `json:"states-part,omitempty"`
+	// Part is that part, in millionths. After a restart the host has it again without asking the
+	// others, which may be down.
+	Part int `json:"part,omitempty"`
+	// Holders is the hash of the hosts among which a host of an earlier build has its part.
 	Holders uint64 `json:"holders,omitempty"`
 	// Stopped is true if the host has stopped. It may start again, so its part stays its own until
 	// another host removes the record.
 	Stopped bool `json:"stopped,omitempty"`
+	// Rewrites counts writes whose outcome was not known, so that the next one changes the record
+	// and a late one of these does not replace it.
+	Rewrites uint64 `json:"rewrites,omitempty"`
+}
+
+// InvalidRecordError reports a host's record that no host writes.
+type InvalidRecordError struct {
+	Key    string
+	Reason string
+}
+
+func (e *InvalidRecordError) Error() string {
+	return fmt.Sprintf("record of a host %q: %s", e.Key, e.Reason)
+}
+
+// decodeRecord reads a host's record. It returns an [InvalidRecordError] if it is one that no host
+// writes.
+func decodeRecord(o objectstore.Object) (storedRecord, error) {
+	var record storedRecord
+	reason := ""
+	err := json.Unmarshal(o.Value, &record)
+	switch {
+	case err != nil:
+		reason = err.Error()
+	case hostRecordPrefix+record.Name != o.Key:
+		reason = "it names another host"
+	case !record.PeerAddress.IsValid():
+		reason = "it has no address for other hosts"
+	case record.Part < 0 || record.Part > quota.WholePart:
+		reason = "its part is out of range"
+	default:
+		return record, nil
+	}
+	return storedRecord{}, &InvalidRecordError{
+		Key:    o.Key,
+		Reason: reason,
+	}
+}
+
+// isOfEarlierBuild reports whether the host does not state its part.
+func (r *storedRecord) isOfEarlierBuild() bool { return r.Name != "" && !r.StatesPart }
+
+// statedPart returns the part that the record states, zero if there is none. A host of an earlier
+// build has an equal part if it is one of the holders.
+func (r *storedRecord) statedPart(name string, holders []string) int {
+	if r.isOfEarlierBuild() && slices.Contains(holders, name) {
+		return quota.WholePart / len(holders)
+	}
+	return r.Part
 }
 
 // hostRecords holds the records of all hosts as they were last read.
@@ -30,20 +87,31 @@
 	// own is this host's; its name is empty if the store has none.
 	own        storedRecord
 	ownVersion objectstore.Version
-	// stopped holds the records of hosts that have stopped, without this one.
-	stopped map[string]stoppedRecord
-	// withoutPart holds, by host, since when this host knows a record that names no holders.
-	withoutPart map[string]time.Time
+	// known holds the records of all hosts by name.
+	known map[string]knownRecord
 }
 
-// stoppedRecord is the record of a host that has stopped.
-type stoppedRecord struct {
-	record  membership.HostRecord
+// knownRecord is a record of a host.
+type knownRecord struct {
+	record  storedRecord
 	version objectstore.Version
-	// removeAt is when this host removes the record, if no other does so before.
+	// since is since when this host knows a record of this name.
+	since time.Time
+	// removeAt is when this host removes the record of a host that has stopped, if no other does so
+	// before.
 	removeAt time.Time
 }
 
+// hasEarlierBuild reports whether another host does not state its part.
+func (r *hostRecords) hasEarlierBuild() bool {
+	for name, known := range r.known {
+		if name != r.own.Name && known.record.isOfEarlierBuild() {
+			return true
+		}
+	}
+	return false
+}
+
 // stoppedRecordTime is how long a host may take to start again and still have its part, and at most
 // twice that. It is longer than hosts remember what a host reported.
 const stoppedRecordTime = membership.RetentionTime
@@ -57,137 +125,64 @@
 	}
 	now := time.Now()
 	records := &hostRecords{
-		stopped:     make(map[string]stoppedRecord),
-		withoutPart: make(map[string]time.Time),
+		known: make(map[string]knownRecord),
 	}
 	var running []membership.HostRecord
 	for _, o := range objects {
-		var record storedRecord
-		if err := json.Unmarshal(o.Value, &record); err != nil || !record.PeerAddress.IsValid() {
+		record, err := decodeRecord(o)
+		if err != nil {
 			h.logInvalid(o, err)
 			continue
 		}
 		isOwn := record.Name == h.settings().Host
-		switch {
-		case isOwn:
+		if isOwn {
 			records.own, records.ownVersion = record, o.Version
-		case record.Stopped:
-			records.stopped[record.Name] = before.stoppedRecord(record.HostRecord, o.Version, now)
 		}
 		if isOwn || !record.Stopped {
 			running = append(running, record.HostRecord)
 		}
-		if record.Holders == 0 {
-			records.withoutPart[record.Name] = now
-			if since, isKnown := before.withoutPart[record.Name]; isKnown {
-				records.withoutPart[record.Name] = since
-			}
-		}
+		records.known[record.Name] = before.known[record.Name].replaceWith(record, o.Version, now)
 	}
 	if isFirst := h.records.Swap(records) == nil; isFirst && records.own.Joined != 0 {
 		h.joined.Store(records.own.Joined)
 	}
 	h.roster.SetRecords(running)
 	h.hostsLoaded.Store(true)
+	h.checkRecordSoon()
 	return true
 }
 
-// stoppedRecord returns what is known of the record of a host that has stopped. All hosts may remove
-// it, at different times.
-func (r *hostRecords) stoppedRecord(record membership.HostRecord, version objectstore.Version, now time.Time) stoppedRecord {
-	if known, isKnown := r.stopped[record.Name]; isKnown && known.version == version {
-		return known
-	}
-	return stoppedRecord{
+// replaceWith returns what is known of a host whose record was read again. All hosts may remove that
+// of one that has stopped, at different times.
+func (k knownRecord) replaceWith(record storedRecord, version objectstore.Version, now time.Time) knownRecord {
+	replaced := knownRecord{
 		record:   record,
 		version:  version,
-		removeAt: now.Add(stoppedRecordTime + rand.N(stoppedRecordTime)),
-	}
-}
-
-// recordRetryDelay is the time between two attempts to write this host's record.
-const recordRetryDelay = time.Second
-
-// recordCheckInterval is the time between two checks that the store still has this host's
-// record.
-const recordCheckInterval = 10 * time.Second
-
-// holdersCheckInterval is the time between two checks whether this host's part of the teams'
-// rates is among other holders than its record says.
-const holdersCheckInterval = time.Second
-
-// ownRecord returns what the store should have as this host's record, given what it has. While
-// the host does not have its part among the current holders, the old ones remain.
-func (h *host) ownRecord(stored storedRecord) storedRecord {
-	own := storedRecord{
-		HostRecord: h.record(),
-		Holders:    stored.Holders,
-	}
-	if holders, hasPart := h.limiter.DivisionHash(); hasPart {
-		own.Holders = holders
-	}
-	return own
-}
-
-// writeRecord writes this host's record to the store unless the store has it already, from
-// before a restart, and does so again if the record is gone or its holders change. It removes the
-// records of hosts that stopped long ago. It ends when the host drains.
-func (h *host) writeRecord(ctx context.Context) {
-	h.awaitHostsLoaded(ctx)
-	var written storedRecord
-	var writtenAt time.Time
-	for ctx.Err() == nil && !h.draining.Load() {
-		records := h.records.Load()
-		if records == nil {
-			records = &hostRecords{}
-		}
-		own := h.ownRecord(records.own)
-		isMissing := records.own != own && (written != own || time.Since(writtenAt) > recordCheckInterval)
-		delay := holdersCheckInterval
-		if isMissing {
-			if err := h.replaceRecord(ctx, own, records); err != nil {
-				h.log.Write(observe.HostRecordWriteFailed, zap.Error(err))
-				delay = recordRetryDelay
-			} else {
-				written, writtenAt = own, time.Now()
-			}
-		}
-		h.removeStopped(ctx, records)
-		sleep(ctx, delay)
-	}
-}
-
-// replaceRecord writes this host's record. One that says that the host has stopped is replaced only
-// if no other host has removed it meanwhile; if one has, this host has joined anew, and has no part.
-func (h *host) replaceRecord(ctx context.Context, own storedRecord, records *hostRecords) error {
-	value, err := json.Marshal(own)
-	if err != nil {
-		return err
+		since:    k.since,
+		removeAt: k.removeAt,
 	}
-	key := hostRecordPrefix + h.settings().Host
-	if !records.own.Stopped {
-		return h.createOrReplace(ctx, key, value)
+	if replaced.since.IsZero() {
+		replaced.since = now
 	}
-	_, err = h.store.Put(ctx, key, value, objectstore.IfVersion{
-		Version: records.ownVersion,
-	})
-	var notFound *objectstore.NotFoundError
-	var conflict *objectstore.ConflictError
-	if errors.As(err, &notFound) || errors.As(err, &conflict) {
-		h.joined.CompareAndSwap(records.own.Joined, h.incarnation)
+	if record.Stopped && (!k.record.Stopped || k.version != version) {
+		replaced.removeAt = now.Add(stoppedRecordTime + rand.N(stoppedRecordTime))
 	}
-	return err
+	return replaced
 }
 
 // removeStopped removes the records of hosts that have not started again for long, so that the others
 // have their parts.
-func (h *host) removeStopped(ctx context.Context, records *hostRecords) {
-	for name, stopped := range records.stopped {
-		if time.Now().Before(stopped.removeAt) {
+func (h *host) removeStopped(ctx context.Context) {
+	records := h.records.Load()
+	if records == nil {
+		return
+	}
+	for name, known := range records.known {
+		if !known.record.Stopped || name == h.settings().Host || time.Now().Before(known.removeAt) {
 			continue
 		}
 		err := h.store.Delete(ctx, hostRecordPrefix+name, objectstore.IfVersion{
-			Version: stopped.version,
+			Version: known.version,
 		})
 		var notFound *objectstore.NotFoundError
 		var conflict *objectstore.ConflictError
@@ -197,36 +192,6 @@
 	}
 }
 
-// markStopped writes into this host's record that it stops.
-func (h *host) markStopped(ctx context.Context) error {
-	var stored storedRecord
-	if records := h.records.Load(); records != nil {
-		stored = records.own
-	}
-	own := h.ownRecord(stored)
-	own.Stopped = true
-	value, err := json.Marshal(own)
-	if err != nil {
-		return err
-	}
-	_, err = h.store.Put(ctx, hostRecordPrefix+h.settings().Host, value, objectstore.Always{})
-	return err
-}
-
-// createOrReplace writes an object. At the first start of the fleet it is created, as there can
-// be none yet; otherwise, and if there is one nevertheless, it is replaced.
-func (h *host) createOrReplace(ctx context.Context, key string, value []byte) error {
-	if h.settings().FirstStart {
-		_, err := h.store.Put(ctx, key, value, objectstore.IfAbsent{})
-		var conflict *objectstore.ConflictError
-		if !errors.As(err, &conflict) {
-			return err
-		}
-	}
-	_, err := h.store.Put(ctx, key, value, objectstore.Always{})
-	return err
-}
-
 // awaitHostsLoaded waits until the records of all hosts are known, but at most for
 // [recordWaitTime], since hosts may find each other only through this one's record.
 func (h *host) awaitHostsLoaded(ctx context.Context) {
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -113,6 +113,14 @@
 	return r.selectReceived(func(last receivedHeartbeat) bool { return now.Sub(last.heardAt) <= RetentionTime })
 }
 
+// RecentPeer returns the last heartbeat of a host if it was heard from within [RetentionTime].
+func (r *Roster) RecentPeer(name string) (Heartbeat, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last, isKnown := r.received[name]
+	return last.heartbeat, isKnown && r.now().Sub(last.heardAt) <= RetentionTime
+}
+
 // selectReceived returns the last heartbeats for which include returns true, sorted by name.
 func (r *Roster) selectReceived(include func(receivedHeartbeat) bool) []Heartbeat {
 	var heartbeats []Heartbeat
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -330,12 +330,13 @@
 		Level:  zapcore.InfoLevel,
 		Fields: []string{
 			"part",
-			"target",
-			"hosts",
-			"waits-for",
+			"stated",
+			"least",
+			"most",
+			"others",
 		},
-		Cause:  "This host's part of the teams' rates changed, or it may not yet use all of the part that it should have among the hosts that may be running; waits-for names the hosts that keep it from that.",
-		Action: "If part stays zero, check the hosts that it waits for; if they are gone for good, remove their records from the store.",
+		Cause:  "This host's part of the teams' rates changed, in millionths: part is what this host uses, stated what its record says, and it should have between least and most. Others names each other host that has one, with the part that its record states, and whether it is active, silent or not known yet.",
+		Action: "If part stays zero, look for hosts that are silent; if they are gone for good, remove their records from the store.",
 	}
 	HeartbeatUnreadable = Event{
 		Number: 306,
--- a/quota/division.go
+++ b/quota/division.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Division says among which hosts the rates are divided. Each holder has an equal part of each
-// rate, which stays its own while it is paused or cut off, and lends fractions of it to hosts
+// Division says among which hosts the rates are divided. Each holder has a part of each rate (see
+// [PartClaim]), which stays its own while it is paused or cut off, and lends fractions of it to hosts
 // with demand. So the parts in use never add up to more than the whole, whatever hosts know
 // of each other.
 type Division struct {
@@ -17,22 +17,24 @@
 	Self string
 	// Members are the names of all hosts that may be running, with this one.
 	Members []string
-	// Holders are the members that have a part.
+	// Holders are the members that are to have a part.
 	Holders []string
 	// Joined tells apart hosts of the same name that have joined the fleet one after the other.
 	Joined map[string]uint64
-	// IsConfirmed is true if no other member counts on parts that leave no room for this
-	// host's (see [Division.IsConfirmedBy]). Without it, a part does not grow.
-	IsConfirmed bool
+	// Part is this host's part of each rate, from 0 to 1.
+	Part float64
+	// IsAgreed is true if this host has the part that it should have, and the other members count
+	// on the same holders.
+	IsAgreed bool
 	// IsRestart is true if an earlier process of this host may have lent fractions of its
 	// part that are still in use.
 	IsRestart bool
 }
 
-// hash returns a hash by which hosts compare the holders. It does not depend on the order. A host
+// Hash returns a hash by which hosts compare the holders. It does not depend on the order. A host
 // that left and joined again is another one: what was reported of the holders before does not
 // count for those with it.
-func (d *Division) hash() uint64 {
+func (d *Division) Hash() uint64 {
 	sorted := slices.Sorted(slices.Values(d.Holders))
 	digest := xxhash.New()
 	for _, name := range sorted {
@@ -58,35 +60,7 @@
 	return holders
 }
 
-// MemberReport is what this host knows of another member.
-type MemberReport struct {
-	// Divides is true if the host divides the rates as [Division] says. A host of an earlier build
-	// does not.
-	Divides bool
-	// Holders is the hash of the holders that the host reported last, zero if it reported none.
-	Holders uint64
-	// HasNoPart is true if the host has never had a part, and can't get one because it does not
-	// hear from this host.
-	HasNoPart bool
-}
-
-// IsConfirmedBy reports whether no other member counts on parts that leave no room for this host's.
-// It takes the hash of the holders in this host's record, among which it had its part before it
-// restarted, and what all other members reported last. The record must be part of the list from
-// which the members were read: of two hosts that add theirs at the same time, one then knows the
-// other, and waits for it.
-func (d *Division) IsConfirmedBy(recorded uint64, others []MemberReport) bool {
-	hash := d.hash()
-	if recorded == hash {
-		return true
-	}
-	return !slices.ContainsFunc(others, func(r MemberReport) bool {
-		return r.Divides && !r.HasNoPart && r.Holders != hash
-	})
-}
-
-// SetDivision sets among which hosts the rates are divided. A part that shrinks does so at once,
-// and one that grows if the division is confirmed.
+// SetDivision sets among which hosts the rates are divided, and this host's part.
 func (l *Limiter) SetDivision(division Division) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -94,42 +68,36 @@
 	if l.StartedAt.IsZero() {
 		l.StartedAt = now
 	}
-	if part := division.part(); part <= l.part || division.IsConfirmed {
-		l.part = part
-	}
 	l.division = division
 	l.refresh(now)
 }
 
 // DivisionHash returns the hash of the holders on which this host counts, zero as long as what it
-// has lent exceeds its part among them. It also reports whether this host has that part.
-func (l *Limiter) DivisionHash() (hash uint64, hasPart bool) {
+// has lent exceeds its part among them. It also reports whether the hosts agree on it, and this
+// one has its part.
+func (l *Limiter) DivisionHash() (hash uint64, isAgreed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for team := range l.teams {
-		if l.reserved(team) > l.part {
-			return 0, false
-		}
-	}
-	if len(l.division.Members) == 0 {
+	if len(l.division.Members) == 0 || l.partInUse() > l.division.Part {
 		return 0, false
 	}
-	return l.division.hash(), l.part == l.division.part()
+	return l.division.Hash(), l.division.IsAgreed
 }
 
-// Part returns this host's part of each rate, and the one that it should have among the holders.
-func (l *Limiter) Part() (part, target float64) {
+// PartInUse returns the part of each rate that this host uses or has lent. It may exceed the part
+// that it was last given, as long as loans of a larger one last.
+func (l *Limiter) PartInUse() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.part, l.division.part()
+	return l.partInUse()
 }
 
-// part returns this host's part of each rate among the holders.
-func (d *Division) part() float64 {
-	if !slices.Contains(d.Holders, d.Self) {
-		return 0
+func (l *Limiter) partInUse() float64 {
+	inUse := l.division.Part
+	for team := range l.teams {
+		inUse = max(inUse, l.reserved(team))
 	}
-	return 1 / float64(len(d.Holders))
+	return inUse
 }
 
 // Holders returns the names of the hosts that have a part of each rate.
@@ -144,7 +112,7 @@
 func (l *Limiter) AwaitsResponses() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.division.Members) == 0 || l.part > 0 && l.usablePart(l.now()) == 0
+	return len(l.division.Members) == 0 || l.division.Part > 0 && l.usablePart(l.now()) == 0
 }
 
 // usablePart returns this host's part. After a restart it is zero until the loans of the process
@@ -152,13 +120,13 @@
 // longest time of a loan is over.
 func (l *Limiter) usablePart(now time.Time) float64 {
 	if !l.division.IsRestart || l.arePriorLoansOver {
-		return l.part
+		return l.division.Part
 	}
 	l.arePriorLoansOver = now.Sub(l.StartedAt) > reservationTime || !slices.ContainsFunc(l.division.Members, func(name string) bool {
 		return name != l.division.Self && !l.hasResponded[name]
 	})
 	if l.arePriorLoansOver {
-		return l.part
+		return l.division.Part
 	}
 	return 0
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -4,8 +4,8 @@
 and rejects the request if there is none. A host without a token may first borrow
 one from another host.
 
-Every host enforces a share of each team's rate. Each rate is divided into equal parts (see
-[Division]), and hosts lend each other fractions of their parts for some seconds, in
+Every host enforces a share of each team's rate. Each rate is divided into parts, which hosts'
+records state (see [PartClaim]), and hosts lend each other fractions of their parts for some seconds, in
 proportion to the demand that they see (see [LoanRequest]), so that the shares follow callers
 that move from host to host. A lender uses less from when it lends, and uses again what it lent
 when the borrower no longer does. So the shares of all hosts never add up to more than the
@@ -117,10 +117,8 @@
 	ownership Ownership
 	// reports holds the last reports of the other hosts.
 	reports []Report
-	// division is the last one that was set, and part this host's part of each rate among its
-	// holders.
+	// division is the last one that was set.
 	division Division
-	part     float64
 	// hasResponded holds the hosts that have responded to a loan request of this process.
 	hasResponded      map[string]bool
 	arePriorLoansOver bool
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -184,7 +184,9 @@
 	}
 	division := f.known
 	division.Self = hostName(host)
-	division.IsConfirmed = true
+	if slices.Contains(division.Holders, division.Self) {
+		division.Part = 1 / float64(len(division.Holders))
+	}
 	division.IsRestart = f.restarted[f.limiters[host]]
 	return division
 }
