Accept in a stopping host only what ends before it stops

Cause: a draining host accepted every request for 0.4 of its drain timeout, whatever time the request may take. That is 2.4 s of 6 s but 4 s of 10 s.

Evidence: the first report rejected comes 4.0 s after the SIGTERM, those cut end at 9.7 s; both are the constants.

Change: all requests are accepted for 2.5 s at most, and later ones if their deadline comes before running requests are ended. Related paths: a body that is complete late is checked again, since the request is only then passed on; the shutdown margin is at most a quarter of the timeout, so that requests are not ended before five sixths of a short one.

Failed before: on TestDrainingHostRejectsWhatMayOutlastIt and TestUploadThatEndsLateIsNotPassedOn, both 200 where 503 is expected.

--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -137,21 +137,8 @@
 	running        atomic.Int64
 	// cancels holds the functions that end the running requests, by their states.
 	cancels sync.Map
-	// acceptUntil is the time from which a draining host rejects new requests; nil
-	// while the host is not draining.
-	acceptUntil atomic.Pointer[time.Time]
-}
-
-// acceptFraction is the fraction of the draining time, from its start, in which the host
-// still accepts requests. Later requests might not end before the host stops, and are
-// rejected.
-const acceptFraction = 0.4
-
-// StartDraining tells the handler that the host will stop after the given time. From
-// now on the handler closes the caller's connection after each response, so that the
-// caller sends its next requests to another host.
-func (h *Handler) StartDraining(timeToStop time.Duration) {
-	h.acceptUntil.Store(new(h.now().Add(time.Duration(acceptFraction * float64(timeToStop)))))
+	// draining is nil while the host is not draining.
+	draining atomic.Pointer[drainingPeriod]
 }
 
 // SetConfiguration sets the configuration for new requests. If it is not newer than the
@@ -210,11 +197,12 @@
 }
 
 func (h *Handler) isDraining() bool {
-	return h.acceptUntil.Load() != nil
+	return h.draining.Load() != nil
 }
 
-// accepts reports whether a request that arrives at the given time is served.
-func (h *Handler) accepts(now time.Time) bool {
-	until := h.acceptUntil.Load()
-	return until == nil || now.Before(*until)
+// accepts reports whether a request that is read at the given time and must end by the deadline
+// is served.
+func (h *Handler) accepts(now, deadline time.Time) bool {
+	period := h.draining.Load()
+	return period == nil || period.accepts(now, deadline)
 }
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -66,11 +66,13 @@
 // error of the first step that rejects the request.
 func (s *requestState) prepare() error {
 	for _, step := range []func() error{
-		s.checkDraining,
 		s.findRoute,
 		s.authenticate,
 		s.setDeadline,
+		s.checkDraining,
 		s.buildServerRequest,
+		// The body may have taken long to arrive.
+		s.checkDraining,
 		s.applyRateLimit,
 	} {
 		if err := step(); err != nil {
@@ -82,7 +84,7 @@
 
 // checkDraining rejects a request that might not end before this host stops.
 func (s *requestState) checkDraining() error {
-	if !s.handler.accepts(s.start) {
+	if !s.handler.accepts(s.handler.now(), s.deadline) {
 		return &DrainingError{}
 	}
 	return nil
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -54,7 +54,7 @@
 // lookupTTL returns the TTL of the lookup responses of this host.
 func (h *host) lookupTTL() time.Duration {
 	maxTTL := time.Duration(h.settings().MaxLookupTTLSeconds * float64(time.Second))
-	return LookupTTL(maxTTL, h.settings().drainTimeout()-shutdownMargin)
+	return LookupTTL(maxTTL, h.settings().drainTimeout()-h.settings().shutdownMargin())
 }
 
 // LookupTTL returns the TTL of lookup responses, which is how long callers may use them. The
