Resume a host's part of the rates as soon as the records are read

Change: the part is resumed where the records are applied, and a part that may have changed wakes the loop that uses it.

Ruled out: fewer parts in use, since a resumed part is that of before.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -86,6 +86,8 @@
 	part ratePart
 	// recordDue holds an element if this host's record may need a change soon.
 	recordDue chan struct{}
+	// divisionDue holds an element if this host's part may have changed.
+	divisionDue chan struct{}
 	// loanNeeded holds an element if the host is to ask for loans soon.
 	loanNeeded   chan struct{}
 	crashReports crashReportQueue
@@ -130,9 +132,10 @@
 			Host:   settings.Host,
 			Region: settings.Region,
 		},
-		limiter:    &quota.Limiter{},
-		loanNeeded: make(chan struct{}, 1),
-		recordDue:  make(chan struct{}, 1),
+		limiter:     &quota.Limiter{},
+		loanNeeded:  make(chan struct{}, 1),
+		recordDue:   make(chan struct{}, 1),
+		divisionDue: make(chan struct{}, 1),
 		roster: &membership.Roster{
 			Self: settings.Host,
 		},
--- a/internal/host/parts.go
+++ b/internal/host/parts.go
@@ -16,6 +16,9 @@
 type ratePart struct {
 	mu    sync.Mutex
 	claim quota.PartClaim
+	// isKnown is true once this process has resumed the part of an earlier one, or written a record
+	// of its own.
+	isKnown bool
 	// isResumed is true if an earlier process of this host had the part, so that the others
 	// count this host already.
 	isResumed bool
@@ -32,9 +35,25 @@
 func (p *ratePart) setStated(part int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.isKnown = true
 	p.claim.SetStated(part)
 }
 
+// isOfThisProcess reports whether the stated part is not only that of an earlier process.
+func (p *ratePart) isOfThisProcess() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isKnown
+}
+
+// updateDivisionSoon makes the host update its part before the next interval.
+func (h *host) updateDivisionSoon() {
+	select {
+	case h.divisionDue <- struct{}{}:
+	default:
+	}
+}
+
 // updateDivision sets among which hosts the teams' rates are divided: all that may be running,
 // and in a large fleet the holders among them.
 func (h *host) updateDivision() {
--- a/internal/host/record_writer.go
+++ b/internal/host/record_writer.go
@@ -31,8 +31,6 @@
 	// stored is what the store has, at version; zero if it has no record.
 	stored  storedRecord
 	version objectstore.Version
-	// isResumed is true once this host knows what an earlier process of it left.
-	isResumed bool
 	// writtenAt is when the record was last written.
 	writtenAt time.Time
 	// rewrites counts writes whose outcome is not known.
@@ -98,7 +96,6 @@
 	if err := w.write(ctx, own); err != nil {
 		return false, err
 	}
-	w.isResumed = true
 	w.host.part.setStated(own.Part)
 	return true, nil
 }
@@ -144,19 +141,17 @@
 func (w *recordWriter) take(stored storedRecord, version objectstore.Version) {
 	w.stored, w.version = stored, version
 	w.rewrites = max(w.rewrites, stored.Rewrites)
-	switch {
-	case stored.Stopped:
-	case w.isResumed:
+	if !stored.Stopped && !w.host.resumePart(stored) {
 		w.host.part.setStated(stored.Part)
-	default:
-		w.resume(stored)
 	}
 }
 
-// resume lets this host use the part that the record of an earlier process states.
-func (w *recordWriter) resume(stored storedRecord) {
-	h := w.host
-	w.isResumed = true
+// resumePart lets this host use the part that a record of an earlier process states. It returns false
+// and does nothing if it was called before, or this process has written a record.
+func (h *host) resumePart(stored storedRecord) bool {
+	if h.part.isOfThisProcess() {
+		return false
+	}
 	members := h.members()
 	holders := h.holders(members)
 	states := h.memberStates(members, holders)
@@ -168,8 +163,13 @@
 	}
 	h.part.mu.Lock()
 	defer h.part.mu.Unlock()
+	if h.part.isKnown {
+		return false
+	}
 	h.part.claim.Resume(part, states)
-	h.part.isResumed = part > 0
+	h.part.isKnown, h.part.isResumed = true, part > 0
+	h.updateDivisionSoon()
+	return true
 }
 
 // partOf returns the part that a record of an earlier process of this host states. One of an earlier
@@ -194,13 +194,13 @@
 	before := w.stored
 	own := w.record()
 	own.Holders, own.StatesPart = before.Holders, before.StatesPart
-	if !w.isResumed {
+	if !w.host.part.isOfThisProcess() {
 		own.Part = before.Part
 	}
 	err := w.write(ctx, own)
 	switch {
-	case err == nil && !w.isResumed:
-		w.resume(own)
+	case err == nil:
+		w.host.resumePart(own)
 	case isRemoved(err) && w.version == 0:
 		w.host.joined.CompareAndSwap(before.Joined, w.host.incarnation)
 		w.host.part.setStated(0)
@@ -306,6 +306,7 @@
 	}
 	h.part.mu.Lock()
 	defer h.part.mu.Unlock()
+	h.updateDivisionSoon()
 	return h.part.claim.Confirm(states)
 }
 
--- a/internal/host/records.go
+++ b/internal/host/records.go
@@ -147,6 +147,9 @@
 		h.joined.Store(records.own.Joined)
 	}
 	h.roster.SetRecords(running)
+	if records.own.Name != "" && !records.own.Stopped {
+		h.resumePart(records.own)
+	}
 	h.hostsLoaded.Store(true)
 	h.checkRecordSoon()
 	return true
@@ -198,7 +201,7 @@
 	ctx, cancel := context.WithTimeout(ctx, recordWaitTime)
 	defer cancel()
 	for ctx.Err() == nil && !h.hostsLoaded.Load() {
-		sleep(ctx, recordWaitTime/20)
+		sleep(ctx, recordWaitTime/100)
 	}
 }
 
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -43,7 +43,11 @@
 			sleep(ctx, firstUpdateInterval)
 			continue
 		}
-		sleep(ctx, peerUpdateInterval)
+		select {
+		case <-ctx.Done():
+		case <-h.divisionDue:
+		case <-time.After(peerUpdateInterval):
+		}
 	}
 }
 
