Write the hash of the holders with the first part of a record

Cause: since parts are resumed at once, a host may write its first record before it has set its division, and that record had no hash of the holders; hosts of the build before take such a host for one that never had a part.

Change: the writer computes the hash from the members that it counts.

--- a/internal/host/record_writer.go
+++ b/internal/host/record_writer.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"trefoilline.example/trefoilline/membership"
 	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/quota"
@@ -90,8 +91,9 @@
 	if own == w.stored {
 		return false, nil
 	}
-	if hash, _ := w.host.limiter.DivisionHash(); hash != 0 && own.Part > 0 {
-		own.Holders = hash
+	if own.Part > 0 {
+		members := w.host.members()
+		own.Holders = hashHolders(members, w.host.holders(members))
 	}
 	if err := w.write(ctx, own); err != nil {
 		return false, err
@@ -155,7 +157,7 @@
 	members := h.members()
 	holders := h.holders(members)
 	states := h.memberStates(members, holders)
-	part := h.partOf(stored, holders)
+	part := h.partOf(stored, members, holders)
 	for i := range states {
 		if states[i].Name == h.settings().Host {
 			states[i].Stated = part
@@ -174,18 +176,23 @@
 
 // partOf returns the part that a record of an earlier process of this host states. One of an earlier
 // build had its part among the holders that its record names.
-func (h *host) partOf(stored storedRecord, holders []string) int {
+func (h *host) partOf(stored storedRecord, members []membership.HostRecord, holders []string) int {
+	if stored.isOfEarlierBuild() && stored.Holders != hashHolders(members, holders) {
+		return 0
+	}
+	return stored.statedPart(stored.Name, holders)
+}
+
+// hashHolders returns the hash of the members that are to have a part.
+func hashHolders(members []membership.HostRecord, holders []string) uint64 {
 	division := quota.Division{
 		Holders: holders,
 		Joined:  make(map[string]uint64),
 	}
-	for _, m := range h.members() {
+	for _, m := range members {
 		division.Joined[m.Name] = m.Joined
 	}
-	if stored.isOfEarlierBuild() && stored.Holders != division.Hash() {
-		return 0
-	}
-	return stored.statedPart(stored.Name, holders)
+	return division.Hash()
 }
 
 // restart replaces a record which says that this host has stopped: that of an earlier process. If
