Read the rest of a list that holds one odd entry

What callers saw: hosts lived on, but followed nothing that came after an odd entry among those of the servers: new servers got no requests, and changed routes whose services were new were answered 503.

Cause: a list or a watch of the store is decoded as one value, and the decoder refuses one that is nested more than 10,000 levels deep anywhere. The entry stays in each list until it is removed.

Also taken for servers were: 2^63-1 slots, a start in the year 292,000,000, the address 0.0.0.0; an entry of 900 KB was kept and copied.

Change: a body that can't be decoded as a whole is split without a limit of depth, and each object is decoded on its own; one that can't be is named, has no value, and is logged.

--- a/fleet/reader.go
+++ b/fleet/reader.go
@@ -155,7 +155,8 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	machines, err := l.Directory.Machines(ctx)
-	if err != nil {
+	var invalid *objectstore.InvalidMachinesError
+	if err != nil && !errors.As(err, &invalid) {
 		return false
 	}
 	l.Node.SetMachines(machines)
--- a/internal/daemon/machines.go
+++ b/internal/daemon/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"slices"
 	"time"
@@ -49,7 +50,8 @@
 // readMachines reads the list of machines and passes it to the components that use it.
 func (d *daemon) readMachines(ctx context.Context) error {
 	machines, err := d.machineDirectory.Machines(ctx)
-	if err != nil {
+	var invalid *objectstore.InvalidMachinesError
+	if err != nil && !errors.As(err, &invalid) {
 		return err
 	}
 	list := &machineList{}
@@ -67,7 +69,7 @@
 	d.refreshLimits()
 	// New backend servers may have slots for queued requests.
 	d.handler.DispatchQueued()
-	return nil
+	return err
 }
 
 // isEntryHost reports whether the address is that of an entry host on the platform's
--- a/objectstore/client_reads.go
+++ b/objectstore/client_reads.go
@@ -37,9 +37,11 @@
 
 // Machines implements [Directory].
 func (c *Client) Machines(ctx context.Context) ([]Machine, error) {
-	var list MachineList
-	err := c.read(ctx, "", MachinesPath, nil, 0, &list)
-	return list.Machines, err
+	var body rawBody
+	if err := c.read(ctx, "", MachinesPath, nil, 0, &body); err != nil {
+		return nil, err
+	}
+	return decodeMachines(body.content)
 }
 
 // read makes one call and decodes the response into result. Without a valid
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -21,6 +21,8 @@
   - [UnknownOutcomeError]: the call may or may not have taken effect. Read the
     object again before repeating a write.
 
+An [InvalidMachinesError] comes with the machines that could be decoded.
+
 Two errors are about watches: [HistoryGoneError] asks the caller to list the objects
 again, and [StaleError] says that a follower's copy may be out of date.
 
@@ -154,6 +156,7 @@
 
 // Directory is the platform's list of machines.
 type Directory interface {
-	// Machines returns all machines that the platform lists.
+	// Machines returns all machines that the platform lists. If some entries can't be decoded,
+	// it returns the others and an [InvalidMachinesError].
 	Machines(ctx context.Context) ([]Machine, error)
 }
--- a/objectstore/response.go
+++ b/objectstore/response.go
@@ -49,7 +49,7 @@
 	if response.StatusCode != http.StatusOK {
 		return parseError(response, key)
 	}
-	if err := json.NewDecoder(response.Body).Decode(result); err != nil {
+	if err := decodeBody(response.Body, result); err != nil {
 		return &noValidResponseError{
 			Cause: &statusError{
 				Status: response.StatusCode,
@@ -62,6 +62,22 @@
 	return nil
 }
 
+// rawBody is the body of a response as it was received.
+type rawBody struct {
+	content []byte
+}
+
+// decodeBody decodes the body of a successful response.
+func decodeBody(body io.Reader, result any) error {
+	raw, isRaw := result.(*rawBody)
+	if !isRaw {
+		return json.NewDecoder(body).Decode(result)
+	}
+	content, err := io.ReadAll(body)
+	raw.content = content
+	return err
+}
+
 // parseError turns a response with an error status into a typed error. Only a body
 // in the store's format proves that the call changed nothing.
 func parseError(response *http.Response, key string) error {
