Answer callers that end their sending with no success

Cause: net/http cancels a request's context when the caller's stream ends; the handler returned without an answer, for which net/http sends 200.

Evidence: the test needs one connection, and shows it for a request at a server and for one that waits for a slot. Ruled out: an answer of the server, which has none.

Change: the request is dropped as before, and answered with 502 if a server may have run it, else with 503.

--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -51,11 +51,12 @@
 }
 
 // handleFailure tells the caller that there is no response of a backend server. If the
-// request was not run, the team gets its rate-limit token back. If the caller has
-// cancelled the request, handleFailure only records this, and does not give the token back.
+// request was not run, the team gets its rate-limit token back, unless the caller has cancelled the
+// request.
 func (s *requestState) handleFailure(f *failure) {
 	if s.isCancelledByCaller() {
 		s.recordCallerDisconnected()
+		s.answerDisconnected(f)
 		return
 	}
 	if !f.mayHaveRun {
@@ -72,6 +73,16 @@
 	s.respondError(status, 0, f.cause)
 }
 
+// answerDisconnected answers a caller that has cancelled the request. It may have closed only its
+// sending side and read on, and without an answer net/http would send it a success.
+func (s *requestState) answerDisconnected(f *failure) {
+	status := http.StatusServiceUnavailable
+	if f.mayHaveRun {
+		status = http.StatusBadGateway
+	}
+	s.writeError(status, 0, f.cause)
+}
+
 // reject tells the caller that the request was not run and never will be.
 func (s *requestState) reject(cause error) {
 	var rateLimit *RateLimitError
@@ -117,13 +128,19 @@
 // respondError responds with a status that this host sets itself, and a Retry-After header
 // if the wait is positive.
 func (s *requestState) respondError(status int, wait time.Duration, cause error) {
+	wait = min(wait, maxRetryAfter)
+	s.recordError(s.writeError(status, wait, cause), wait, cause)
+}
+
+// writeError writes the response, and returns its status, which is another one for another host.
+func (s *requestState) writeError(status int, wait time.Duration, cause error) int {
 	s.closeIfDraining()
-	if wait = min(wait, maxRetryAfter); wait > 0 {
+	if wait > 0 {
 		s.w.Header().Set("Retry-After", s.handler.HeaderCodec.FormatRetryAfter(wait))
 	}
 	if s.isForwarded {
 		status = s.tellForwarder(status, cause)
 	}
 	http.Error(s.w, http.StatusText(status), status)
-	s.recordError(status, wait, cause)
+	return status
 }
