Count a broken connection as a crash only beside reachable servers

Cause: a broken connection counts as a crash by the request if the server accepts no new one, which the host asks over the links that are cut; two such reports reject all equal requests everywhere.

Change: the host also asks servers near that one, of its zone if there are any, and counts the crash only if one of them is reachable.

--- a/crashdetect/detector.go
+++ b/crashdetect/detector.go
@@ -44,6 +44,10 @@
 	// the broken connection is not counted as a crash. If IsReachable is nil, every
 	// broken connection counts as one.
 	IsReachable func(server netip.AddrPort) bool
+	// HasContact reports whether this host reaches other servers near one that is not reachable. If
+	// it does not, the broken connection is not counted as a crash, since the links have failed
+	// or all servers there. If HasContact is nil, the host always does.
+	HasContact func(server netip.AddrPort) bool
 	// Clock returns the current time; [time.Now] if nil.
 	Clock func() time.Time
 
@@ -55,12 +59,15 @@
 }
 
 // RecordBrokenConnection records that a backend server broke the connection of the request.
-// It first checks whether the server is still reachable, because connections break for many
-// reasons, and all equal requests with the same API key share a fingerprint.
+// It first checks whether the server is still reachable, and if it is not, whether others are, because
+// connections break for many reasons, and all equal requests with the same API key share a fingerprint.
 func (d *Detector) RecordBrokenConnection(request *exchange.Request, server netip.AddrPort) {
 	if d.IsReachable != nil && d.IsReachable(server) {
 		return
 	}
+	if d.HasContact != nil && !d.HasContact(server) {
+		return
+	}
 	report := Report{
 		Fingerprint: FingerprintOf(request),
 		Server:      server,
--- a/crashdetect/detector_test.go
+++ b/crashdetect/detector_test.go
@@ -196,3 +196,22 @@
 	detectors[0].RecordBrokenConnection(popular, firstServer)
 	require.True(t, detectors[1].ShouldReject(popular))
 }
+
+// TestBrokenLinksAreNoCrashes guards against requests that all hosts reject because one host lost its links to the
+// servers, or because a zone failed, while they were running there.
+func TestBrokenLinksAreNoCrashes(t *testing.T) {
+	hasContact := false
+	detector := &crashdetect.Detector{
+		IsReachable: func(netip.AddrPort) bool { return false },
+		HasContact:  func(netip.AddrPort) bool { return hasContact },
+		Broadcast:   func(crashdetect.Report) { require.True(t, hasContact, "other hosts are told") },
+	}
+	order := newRequest("/orders", bytesBody("chalk"))
+	detector.RecordBrokenConnection(order, firstServer)
+	detector.RecordBrokenConnection(order, secondServer)
+	require.False(t, detector.ShouldReject(order))
+	hasContact = true
+	detector.RecordBrokenConnection(order, firstServer)
+	detector.RecordBrokenConnection(order, secondServer)
+	require.True(t, detector.ShouldReject(order))
+}
--- a/crashdetect/report.go
+++ b/crashdetect/report.go
@@ -5,8 +5,8 @@
 connection or the request gets a response.
 
 A request is identified by its [Fingerprint], so that every host recognizes it when a caller
-sends it again. If a backend server breaks the connection and then accepts no new one, the
-detector assumes that the request crashed the server. After two crashes the request is
+sends it again. If a backend server breaks the connection and then accepts no new one, though others
+near it do, the detector assumes that the request crashed the server. After two crashes the request is
 rejected for a while; other requests of the same caller are not affected. A request that
 gets a response is cleared, because backend servers also crash for other reasons, and a frequent
 request is likely to be running on any server that crashes. Hosts exchange crashes and
@@ -18,6 +18,7 @@
 	detector := &crashdetect.Detector{
 		Broadcast:   broadcast,   // sends each new report to the other hosts
 		IsReachable: isReachable, // whether a server accepts a new connection
+		HasContact:  hasContact,  // whether other servers near it do
 	}
 	if detector.ShouldReject(request) {
 		return request.Reject(retry.RequestCrashesServers)
--- a/internal/host/contact.go
+++ b/internal/host/contact.go
@@ -79,6 +79,24 @@
 	return err
 }
 
+// isReachable reports whether a backend server accepts a new connection. It is called while a
+// request waits whose connection to the server broke, and takes up to connectTimeout.
+func (h *host) isReachable(server netip.AddrPort) bool {
+	return h.probe(context.Background(), []netip.AddrPort{server}) == nil
+}
+
+// hasContactBeside reports whether this host reaches another server near the given one. If it does
+// not, the links or the zone have failed, and not only that server. It is called after isReachable
+// and takes up to connectTimeout.
+func (h *host) hasContactBeside(server netip.AddrPort) bool {
+	if h.pool.IsCutOff() {
+		return false
+	}
+	neighbors := h.pool.Neighbors(server)
+	// The only server can't be told from its link.
+	return len(neighbors) == 0 || h.probe(context.Background(), neighbors) == nil
+}
+
 // findHost returns another host to which a request can be forwarded: one that reaches backend
 // servers, in this region if there is one. It returns false if there is none in the regions that
 // all lists allow.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -156,6 +156,7 @@
 	h.crashDetector = &crashdetect.Detector{
 		Broadcast:   h.queueCrashReport,
 		IsReachable: h.isReachable,
+		HasContact:  h.hasContactBeside,
 	}
 	h.handler = &bufferproxy.Handler{
 		Pool:        h.pool,
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -362,14 +361,3 @@
 	h.crashReports.recent = slices.DeleteFunc(h.crashReports.recent, func(report crashdetect.Report) bool { return report.ObservedAt.Before(oldest) })
 	return slices.Clone(h.crashReports.recent)
 }
-
-// isReachable reports whether a backend server accepts a new connection. It is called while a
-// request waits whose connection to the server broke, and takes up to connectTimeout.
-func (h *host) isReachable(server netip.AddrPort) bool {
-	connection, err := net.DialTimeout("tcp", server.String(), connectTimeout)
-	if err != nil {
-		return false
-	}
-	_ = connection.Close()
-	return true
-}
--- a/placement/contact.go
+++ b/placement/contact.go
@@ -152,3 +152,41 @@
 	}
 	return targets
 }
+
+// maxNeighbors is how many servers [Pool.Neighbors] returns. A request that crashes servers may have
+// crashed some of them.
+const maxNeighbors = 3
+
+// Neighbors returns the addresses of some random other servers near the one with the given address: of
+// its zone if there are any, else of its region, else of the other regions.
+func (p *Pool) Neighbors(address netip.AddrPort) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var zone, region string
+	for _, s := range p.servers {
+		if s.Address == address {
+			zone, region = s.Zone, s.Region
+		}
+	}
+	const distances = 3
+	var byDistance [distances][]netip.AddrPort
+	for _, s := range p.servers {
+		distance := 2
+		switch {
+		case s.Address == address || !s.isUsable():
+			continue
+		case s.Zone == zone:
+			distance = 0
+		case s.Region == region:
+			distance = 1
+		}
+		byDistance[distance] = append(byDistance[distance], s.Address)
+	}
+	for _, near := range byDistance {
+		if len(near) > 0 {
+			rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+			return near[:min(len(near), maxNeighbors)]
+		}
+	}
+	return nil
+}
--- a/placement/contact_test.go
+++ b/placement/contact_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/placement"
 )
 
@@ -112,3 +114,29 @@
 	require.Equal(t, "accra-1", zones[targets[1].String()])
 	require.Contains(t, zones[targets[2].String()], "kumasi")
 }
+
+// TestNeighborsAreTheNearestOthers guards against a crash that is told from a failed zone by servers of other zones.
+func TestNeighborsAreTheNearestOthers(t *testing.T) {
+	var machines []objectstore.Machine
+	add := func(name, zone, region string) netip.AddrPort {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), uint16(1000+len(machines)))
+		machines = append(machines, objectstore.Machine{
+			Name:    name,
+			Kind:    objectstore.BackendServer,
+			Region:  region,
+			Zone:    zone,
+			Address: address,
+			State:   objectstore.Live,
+			Service: service,
+			Slots:   1,
+		})
+		return address
+	}
+	first, second := add("s-1", "accra-a", "accra"), add("s-2", "accra-a", "accra")
+	alone := add("s-3", "accra-b", "accra")
+	remote := add("s-4", "kumasi-a", "kumasi")
+	pool := newPoolOf(machines)
+	require.Equal(t, []netip.AddrPort{second}, pool.Neighbors(first))
+	require.ElementsMatch(t, []netip.AddrPort{first, second}, pool.Neighbors(alone))
+	require.Len(t, pool.Neighbors(remote), 3)
+}
