--- a/exchange/client.go
+++ b/exchange/client.go
@@ -76,6 +76,9 @@
 	// As without ServersEchoID, a response without an ID is accepted only on a
 	// new connection to a server that has not echoed an ID before.
 	ServersEchoID bool
+	// RequireID rejects responses without the request's ID also on new connections: what listens
+	// at the address is no backend server then.
+	RequireID bool
 	// Clock returns the current time, from which the time left until a deadline
 	// is computed; [time.Now] if nil.
 	Clock func() time.Time
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -70,10 +70,11 @@
 
 // checkRequestID returns an error if the response has the ID of another request. A
 // response without an ID is an error if the backend server is known to echo IDs,
-// if the connection was used before, or if the request goes to an entry host.
+// if the connection was used before, if the request goes to an entry host, or if all servers are
+// required to echo IDs.
 func (a *attempt) checkRequestID(response *http.Response) error {
 	echoed := response.Header.Get(a.client.dialect().RequestID)
-	mayLackID := !a.echoesID && !a.isReused && !a.request.ToEntryHost
+	mayLackID := !a.echoesID && !a.isReused && !a.request.ToEntryHost && !a.client.RequireID
 	if echoed == a.request.ID || echoed == "" && mayLackID {
 		return nil
 	}
--- a/exchange/response_test.go
+++ b/exchange/response_test.go
@@ -296,3 +296,14 @@
 	require.IsType(t, &exchange.Unknown{}, outcome)
 	require.Equal(t, exchange.MismatchedResponse, outcome.(*exchange.Unknown).Reason)
 }
+
+// TestRequiredIDIsCheckedOnNewConnections guards against the answer of a program that is no backend server, and has its
+// address, being taken for the answer to a request.
+func TestRequiredIDIsCheckedOnNewConnections(t *testing.T) {
+	server := startServer(t, http.NotFoundHandler())
+	client := newClient(t)
+	client.RequireID = true
+	outcome := client.Send(t.Context(), server, newRequest("r1", http.MethodGet, "/", nil))
+	require.IsType(t, &exchange.Unknown{}, outcome)
+	require.Equal(t, exchange.MismatchedResponse, outcome.(*exchange.Unknown).Reason)
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -148,6 +148,7 @@
 	h.client = &exchange.Client{
 		Dialect:               &dialect,
 		ReuseForNonIdempotent: true,
+		RequireID:             true,
 		AllowCloseDelimited:   true,
 		ConnectTimeout:        connectTimeout,
 		IdleTimeout:           serverIdleTimeout,
