Confirm a first part whose write had no known outcome by a list

Cause: found by reading. If the response to a host's first write was lost, it found its own claim in the store and took it for what an earlier process had left, which is used without a list of its own; two hosts that join could then use the same fraction. A host that was told to stop before it had read its record wrote that it has no part.

Change: a host that has tried to write knows that what it finds may be its own, and confirms it by a list; a host that stops keeps what the record states.

--- a/internal/host/parts.go
+++ b/internal/host/parts.go
@@ -39,6 +39,13 @@
 	p.claim.SetStated(part)
 }
 
+// setKnown notes that this process writes a record of its own.
+func (p *ratePart) setKnown() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isKnown = true
+}
+
 // isOfThisProcess reports whether the stated part is not only that of an earlier process.
 func (p *ratePart) isOfThisProcess() bool {
 	p.mu.Lock()
--- a/internal/host/record_writer.go
+++ b/internal/host/record_writer.go
@@ -55,7 +55,6 @@
 		host: h,
 	}
 	for ctx.Err() == nil && !h.draining.Load() {
-		delay := partCheckInterval
 		isChanged, err := w.step(ctx)
 		if err != nil {
 			h.log.Write(observe.HostRecordWriteFailed, zap.Error(err))
@@ -67,7 +66,7 @@
 		select {
 		case <-ctx.Done():
 		case <-h.recordDue:
-		case <-time.After(delay):
+		case <-time.After(partCheckInterval):
 		}
 	}
 }
@@ -95,6 +94,8 @@
 		members := w.host.members()
 		own.Holders = hashHolders(members, w.host.holders(members))
 	}
+	// If the outcome is not known, what is then found in the store is not left by an earlier process.
+	w.host.part.setKnown()
 	if err := w.write(ctx, own); err != nil {
 		return false, err
 	}
@@ -329,6 +330,9 @@
 	own.Stopped = true
 	if records := h.records.Load(); records != nil {
 		own.Holders, own.Rewrites = records.own.Holders, records.own.Rewrites
+		if !h.part.isOfThisProcess() {
+			own.StatesPart, own.Part = records.own.StatesPart, records.own.Part
+		}
 	}
 	value, err := json.Marshal(own)
 	if err != nil {
