Select the ports of tests' servers where no connection gets them

Cause: a test selects a port by listening on port 0, closes the listener and starts its server on that port later. Until then the system may give the port to a connection or to a listener of another test. One of 660 runs of TestRequestsThatOutlastAStopAreAnswered, 110 processes at a time, ended so: "bind: address already in use", then "ready" after 20 s. Ruled out: a host that does not become ready; its log has the error of the listener.

Change: loopback.FreeAddress selects ports below those of connections and gives none out twice in a process.

--- a/internal/host/digests_test.go
+++ b/internal/host/digests_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -18,37 +17,25 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"trefoilline.example/trefoilline/internal/host"
+	"trefoilline.example/trefoilline/internal/standin/loopback"
 	"trefoilline.example/trefoilline/membership"
 	"trefoilline.example/trefoilline/observe"
 )
 
-// freeAddresses returns different loopback addresses with ports that are free now.
-func freeAddresses(t *testing.T, count int) []netip.AddrPort {
-	var addresses []netip.AddrPort
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer listener.Close()
-		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
-	}
-	return addresses
-}
-
 // startHost runs a host without a store, and returns its settings and the log.
 func startHost(t *testing.T) (host.Settings, *observer.ObservedLogs) {
 	core, logged := observer.New(zap.DebugLevel)
-	addresses := freeAddresses(t, 5)
 	settings := host.Settings{
 		Identity: host.Identity{
 			Host:          "accra-1",
 			Region:        "accra",
 			Zone:          "accra-a",
-			CallerAddress: addresses[0],
-			ReadyAddress:  addresses[1],
-			LookupAddress: addresses[2],
-			PeerAddress:   addresses[3],
+			CallerAddress: loopback.FreeAddress(t),
+			ReadyAddress:  loopback.FreeAddress(t),
+			LookupAddress: loopback.FreeAddress(t),
+			PeerAddress:   loopback.FreeAddress(t),
 		},
-		StoreAddress:        addresses[4],
+		StoreAddress:        loopback.FreeAddress(t),
 		MaxLookupTTLSeconds: 5,
 		DrainSeconds:        1,
 	}
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -8,7 +8,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -29,6 +28,7 @@
 	"trefoilline.example/trefoilline/header"
 	backendstandin "trefoilline.example/trefoilline/internal/standin/backend"
 	"trefoilline.example/trefoilline/internal/standin/caller"
+	"trefoilline.example/trefoilline/internal/standin/loopback"
 	"trefoilline.example/trefoilline/objectstore"
 )
 
@@ -86,7 +86,7 @@
 func newTestFleet(t *testing.T, hostCount int) *testFleet {
 	f := &testFleet{
 		t:     t,
-		store: freeAddress(t),
+		store: loopback.FreeAddress(t),
 	}
 	f.start("trefoilline-standin", "store", "--listen", f.store.String())
 	f.waitFor("the store answers", func() bool { return f.tryGet("http://"+f.store.String()+objectstore.MachinesPath) != nil })
@@ -100,14 +100,6 @@
 	return f
 }
 
-// freeAddress returns a loopback address whose port was free when it was checked.
-func freeAddress(t *testing.T) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 // start starts a program and returns its command and its standard error. The
 // program is killed at the end of the test; if the test failed, its standard error is
 // logged.
@@ -136,7 +128,7 @@
 			Kind:    objectstore.BackendServer,
 			Region:  region,
 			Zone:    region + "-a",
-			Address: freeAddress(f.t),
+			Address: loopback.FreeAddress(f.t),
 			State:   objectstore.Live,
 			Service: "storefront",
 			Slots:   4,
@@ -155,7 +147,7 @@
 			Kind:    objectstore.EntryHost,
 			Region:  region,
 			Zone:    region + "-a",
-			Address: freeAddress(f.t),
+			Address: loopback.FreeAddress(f.t),
 			State:   objectstore.Live,
 		},
 	}
--- a/scenario/recorded/daemon_test.go
+++ b/scenario/recorded/daemon_test.go
@@ -20,6 +20,7 @@
 	"trefoilline.example/trefoilline/fleet/peer"
 	"trefoilline.example/trefoilline/globallimit"
 	"trefoilline.example/trefoilline/internal/daemon"
+	"trefoilline.example/trefoilline/internal/standin/loopback"
 	"trefoilline.example/trefoilline/internal/standin/store"
 	"trefoilline.example/trefoilline/lease"
 	"trefoilline.example/trefoilline/objectstore"
@@ -95,7 +96,7 @@
 	h := &daemonHost{
 		t:        t,
 		memory:   restore(t, "stored/table"),
-		listen:   freeAddress(t),
+		listen:   loopback.FreeAddress(t).String(),
 		received: &requestRecorder{},
 	}
 	exchange := &peer.Transport{}
