Split lists with an odd entry without reading each value in it

What callers saw: nothing yet.

Cause: hosts of the test logged again and again "no answer for servers/ within 501ms" (event 214) and listed all objects anew. A profile showed a third of the processor time in jsonparts.split: it read every value in each entry as a token, which allocates, at three levels of the body. A list of 2,000 servers with one deep entry took 136 ms of a processor without the race detector; a busy host loses the store over that.

Ruled out: the division of the rates (event 310 shows the members give up their parts at 0.3 and 1.0 s, the new host has its part once its copy is current) and the decoding of sound lists, which does not go through the split.

Change: a scanner looks for the ends of the parts only, with a byte for each open bracket. What it accepts is still compared with the standard library by FuzzPartsAreThoseOfTheLibrary; malformed content is a MalformedError.

--- a/internal/jsonparts/jsonparts.go
+++ b/internal/jsonparts/jsonparts.go
@@ -15,7 +15,6 @@
 package jsonparts
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 )
@@ -47,55 +46,50 @@
 	return elements, err
 }
 
+// MalformedError reports content that is no JSON, or ends early.
+type MalformedError struct {
+	// Offset is where the fault was found, in bytes.
+	Offset int
+}
+
+func (e *MalformedError) Error() string { return fmt.Sprintf("malformed JSON at byte %d", e.Offset) }
+
 // split calls add for each part of an object or an array. Unlike [json.Unmarshal] it does not limit the
-// depth and does not convert numbers.
-func split(content []byte, open json.Delim, add func(name string, value json.RawMessage)) error {
-	decoder := json.NewDecoder(bytes.NewReader(content))
-	decoder.UseNumber()
-	first, err := decoder.Token()
-	if err != nil {
-		return err
+// depth and does not convert numbers. It does not check numbers and literals in the parts.
+func split(content []byte, open byte, add func(name string, value json.RawMessage)) error {
+	s := &scanner{
+		content: content,
 	}
-	if first != open {
+	if !s.accept(open) {
 		return &UnexpectedTypeError{
-			Want: open,
+			Want: json.Delim(open),
 		}
 	}
-	for decoder.More() {
+	end := closing[open]
+	if s.accept(end) {
+		return nil
+	}
+	for {
 		name := ""
 		if open == '{' {
-			token, err := decoder.Token()
+			quoted, err := s.value()
 			if err != nil {
 				return err
 			}
-			// The names of members are always strings.
-			name, _ = token.(string)
-		}
-		start := decoder.InputOffset()
-		if err := skipValue(decoder); err != nil {
-			return err
+			if json.Unmarshal(quoted, &name) != nil || !s.accept(':') {
+				return s.malformed()
+			}
 		}
-		add(name, bytes.TrimLeft(content[start:decoder.InputOffset()], " \t\r\n:,"))
-	}
-	_, err = decoder.Token()
-	return err
-}
-
-// skipValue reads one value of any depth.
-func skipValue(decoder *json.Decoder) error {
-	for depth := 0; ; {
-		token, err := decoder.Token()
+		value, err := s.value()
 		if err != nil {
 			return err
 		}
-		switch token {
-		case json.Delim('{'), json.Delim('['):
-			depth++
-		case json.Delim('}'), json.Delim(']'):
-			depth--
-		}
-		if depth == 0 {
+		add(name, value)
+		if s.accept(end) {
 			return nil
 		}
+		if !s.accept(',') {
+			return s.malformed()
+		}
 	}
 }
