Answer requests that outlast the drain limit of run instead of cutting them

What callers saw: a request that still runs when a host of `trefoillined run` reaches the end of its drain limit had its connection broken. Callers can't tell that from a request that was not run; the library of the test's caller sent a GET again by itself.

Cause: drain closed the server's connections at the end of the limit.

Ruled out: a limit that is too short for the answer; the handler answers a request whose context ends at once, and the connection was closed without that.

Change: the context of all requests ends 0.5 s before the limit, at most a quarter of it; then drain waits for the answers until the limit. `serve` is not touched.

Before: scenario TestRequestsThatOutlastAStopAreAnswered fails with a GET that was sent again and refused. After: it passes, and TestGracefulStopCompletesRunningRequests still does.

--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -10,24 +10,51 @@
 	"trefoilline.example/trefoilline/observe"
 )
 
+// maxAnswerTime is the time for the answers to requests that still run when the host stops, unless that is
+// more than answerFraction of the drain timeout.
+const (
+	maxAnswerTime  = 500 * time.Millisecond
+	answerFraction = 0.25
+)
+
+// answerTime returns how long before the end of its drain timeout the host ends the requests
+// that still run.
+func (s Settings) answerTime() time.Duration {
+	return min(maxAnswerTime, time.Duration(answerFraction*float64(s.DrainTimeout)))
+}
+
 // drain takes the host out of look-up answers, serves requests until cached answers have
-// expired and running requests are done, and closes the server. After DrainTimeout it
-// closes the connections of the requests that still run.
-func (d *daemon) drain(server *http.Server) error {
+// expired and running requests are done, and closes the server. Requests that still run shortly before
+// the end of DrainTimeout are ended and answered with what is known of them, since a caller whose
+// connection is cut knows less. After DrainTimeout drain closes the connections that remain.
+func (d *daemon) drain(server *http.Server, endRequests context.CancelFunc) error {
 	d.log.Write(observe.DrainingStarted, zap.Int("running", d.handler.RunningRequests()))
 	d.draining.Store(true)
 	d.fleetNode.StartDraining()
 	d.limiter.StartDraining()
 
 	startedAt := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainTimeout)
-	defer cancel()
-	sleep(ctx, d.settings.LookUpTTL)
-	err := server.Shutdown(ctx)
+	end := startedAt.Add(d.settings.DrainTimeout)
+	serving, stopServing := context.WithDeadline(context.Background(), end.Add(-d.settings.answerTime()))
+	defer stopServing()
+	sleep(serving, d.settings.LookUpTTL)
+	err := server.Shutdown(serving)
 	interrupted := d.handler.RunningRequests()
+	if err != nil {
+		endRequests()
+		err = shutdown(server, end)
+	}
 	d.log.Write(observe.Stopped, zap.Int("cut", interrupted), zap.Duration("drain-time", time.Since(startedAt)))
 	if err != nil {
 		return server.Close()
 	}
 	return nil
 }
+
+// shutdown closes the listeners and waits until all requests are answered, at most until the given
+// time.
+func shutdown(server *http.Server, until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return server.Shutdown(ctx)
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -46,7 +46,10 @@
 	var loops sync.WaitGroup
 	d.startLoops(background, &loops)
 
+	requests, endRequests := context.WithCancel(context.Background())
+	defer endRequests()
 	server := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		Handler:           d.routes(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -58,7 +61,7 @@
 	select {
 	case err = <-serveResult:
 	case <-ctx.Done():
-		err = d.drain(server)
+		err = d.drain(server, endRequests)
 	}
 	stop()
 	loops.Wait()
--- a/scenario/once_test.go
+++ b/scenario/once_test.go
@@ -144,6 +144,27 @@
 	require.Contains(t, stopping.stderr.String(), `"cut":0`)
 }
 
+// TestRequestsThatOutlastAStopAreAnswered guards against a stop that breaks the connections of requests that
+// still run at the end of the drain limit: their callers learn that they may have run.
+func TestRequestsThatOutlastAStopAreAnswered(t *testing.T) {
+	t.Setenv("TREFOILLINED_DRAIN_LIMIT", "3s")
+	f := newTestFleet(t, 4)
+	key, _ := f.issueKey("bright-start")
+	for _, s := range f.servers {
+		f.setServerFaults(s, `{"service-time": "1m"}`)
+	}
+	stopping := f.hosts[0]
+	results := make(chan caller.Result, 1)
+	go func() { results <- f.sendDirect(stopping, key, http.MethodGet, "/stock") }()
+	f.waitFor("the request runs on the host", func() bool { return runningRequests(f, stopping) == 1 })
+	require.NoError(t, stopping.command.Process.Signal(gracefulStopSignal))
+	result := <-results
+	require.Equal(t, caller.OutcomeUnknown, result.Outcome, result.Reason)
+	require.Equal(t, http.StatusBadGateway, result.Status, result.Reason)
+	require.NoError(t, stopping.command.Wait())
+	require.Contains(t, stopping.stderr.String(), `"cut":1`)
+}
+
 // runningRequests returns how many requests the host says it is running.
 func runningRequests(f *testFleet, h *process) int {
 	running := 0
