Give the client of the store's outcome tests a minute

The test is about outcomes; its timeout was not stated anywhere.

Change: the client's timeout in this test is a minute. A write that never ends still fails it.

--- a/internal/standin/store/store_test.go
+++ b/internal/standin/store/store_test.go
@@ -30,6 +30,8 @@
 func TestConditionalWritesInMemoryAndOverHTTP(t *testing.T) {
 	memory := &store.Memory{}
 	client, _ := startServer(t, &store.Memory{})
+	// The outcomes matter here, not how long a busy machine takes for them.
+	client.Timeout = time.Minute
 	stores := []objectstore.Store{
 		memory,
 		client,
