Keep the test library out of the stand-in of loopback addresses

Cause: loopback.FreeAddress took the running test, so a product file imported testing and testify. Change: MustFreeAddress takes nothing and panics with a NoFreePortError. Before: house-check names the file.

--- a/internal/standin/loopback/loopback.go
+++ b/internal/standin/loopback/loopback.go
@@ -3,19 +3,16 @@
 
 # Usage
 
-	address := loopback.FreeAddress(t)
-	settings.CallerAddress = address
+	settings.CallerAddress = loopback.MustFreeAddress()
 */
 package loopback
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
-	"testing"
-
-	"github.com/stretchr/testify/require"
 )
 
 // The ports from which addresses are selected, the last one not included. The system gives
@@ -31,11 +28,20 @@
 // given holds the ports that this process has given out.
 var given sync.Map
 
-// FreeAddress returns a loopback address on which nothing listened when it was checked, and that this
-// process has not given out before. No connection takes its port before the test's server listens; in
-// another process a test may, at a chance of one in many thousands.
-func FreeAddress(t testing.TB) netip.AddrPort {
-	t.Helper()
+// NoFreePortError reports that no port was free.
+type NoFreePortError struct {
+	Attempts int
+}
+
+func (e *NoFreePortError) Error() string {
+	return fmt.Sprintf("none of %d loopback ports is free", e.Attempts)
+}
+
+// MustFreeAddress returns a loopback address on which nothing listened when it was checked, and that
+// this process has not given out before. No connection takes its port before the test's server listens; in
+// another process a test may, at a chance of one in many thousands. It panics with a
+// [NoFreePortError] if there is none.
+func MustFreeAddress() netip.AddrPort {
 	for range maxAttempts {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), firstPort+rand.N[uint16](endPort-firstPort))
 		if _, isGiven := given.LoadOrStore(address.Port(), true); isGiven {
@@ -45,9 +51,11 @@
 		if err != nil {
 			continue
 		}
-		require.NoError(t, listener.Close())
-		return address
+		if listener.Close() == nil {
+			return address
+		}
 	}
-	require.FailNow(t, "no port is free")
-	return netip.AddrPort{}
+	panic(&NoFreePortError{
+		Attempts: maxAttempts,
+	})
 }
--- a/internal/standin/loopback/loopback_test.go
+++ b/internal/standin/loopback/loopback_test.go
@@ -15,7 +15,7 @@
 func TestFreeAddressesAreNotThoseOfConnections(t *testing.T) {
 	seen := make(map[netip.AddrPort]bool)
 	for range 200 {
-		address := loopback.FreeAddress(t)
+		address := loopback.MustFreeAddress()
 		require.False(t, seen[address])
 		seen[address] = true
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -86,7 +86,7 @@
 func newTestFleet(t *testing.T, hostCount int) *testFleet {
 	f := &testFleet{
 		t:     t,
-		store: loopback.FreeAddress(t),
+		store: loopback.MustFreeAddress(),
 	}
 	f.start("trefoilline-standin", "store", "--listen", f.store.String())
 	f.waitFor("the store answers", func() bool { return f.tryGet("http://"+f.store.String()+objectstore.MachinesPath) != nil })
@@ -128,7 +128,7 @@
 			Kind:    objectstore.BackendServer,
 			Region:  region,
 			Zone:    region + "-a",
-			Address: loopback.FreeAddress(f.t),
+			Address: loopback.MustFreeAddress(),
 			State:   objectstore.Live,
 			Service: "storefront",
 			Slots:   4,
@@ -147,7 +147,7 @@
 			Kind:    objectstore.EntryHost,
 			Region:  region,
 			Zone:    region + "-a",
-			Address: loopback.FreeAddress(f.t),
+			Address: loopback.MustFreeAddress(),
 			State:   objectstore.Live,
 		},
 	}
--- a/scenario/recorded/daemon_test.go
+++ b/scenario/recorded/daemon_test.go
@@ -96,7 +96,7 @@
 	h := &daemonHost{
 		t:        t,
 		memory:   restore(t, "stored/table"),
-		listen:   loopback.FreeAddress(t).String(),
+		listen:   loopback.MustFreeAddress().String(),
 		received: &requestRecorder{},
 	}
 	exchange := &peer.Transport{}
