Look again whether links are whole before a crash counts everywhere

If equal requests ran on a host when its links to the servers broke one after another, all hosts rejected such requests with 503 for minutes.

Cause: a broken connection counts as a crash if the server accepts no new one and a neighbor does. While the links break, a neighbor's may still stand for a millisecond, and two such reports suffice.

TestLinksThatAreCutOneAfterAnotherAreNoCrashes failed each time (0 of 30 served at the other host).

Ruled out: a report at once that is withdrawn later; tried, and the other host still rejected 30 of 30 right after the cut. A pause before the crash counts anywhere: the host would go on to send equal requests to servers meanwhile.

Change: the crash counts at once on the host that saw it; 200 ms later it asks neighbors again, and only then tells the other hosts, or counts the crash no more. With fewer than three neighbors, which the request may have crashed, all servers must be out of reach for that.

After: that test passes three times, TestCrashesDoNotCountWhenTheLinksTurnOutToBeBroken fails without the second look (3 crashes instead of 1).

--- a/crashdetect/detector.go
+++ b/crashdetect/detector.go
@@ -23,6 +23,9 @@
 // Several requests may break at once, and the clocks of hosts differ.
 const duplicateInterval = time.Second
 
+// confirmationDelay is the time between a crash and the check whether it was the links that failed.
+const confirmationDelay = 200 * time.Millisecond
+
 // maxClockSkew is how far in the future a report of another host may lie. One that lies
 // further ahead is treated as observed now.
 const maxClockSkew = 5 * time.Second
@@ -48,11 +51,16 @@
 	// it does not, the broken connection is not counted as a crash, since the links have failed
 	// or all servers there. If HasContact is nil, the host always does.
 	HasContact func(server netip.AddrPort) bool
+	// HasLostContact reports whether this host no longer reaches others than a server which counts as
+	// crashed. It is called confirmationDelay after HasContact, since links and the servers of a zone may
+	// fail one after another. Until then the crash counts on this host only; if HasLostContact returns
+	// true, it no longer counts, and other hosts are not told. It may be nil.
+	HasLostContact func(server netip.AddrPort) bool
 	// Clock returns the current time; [time.Now] if nil.
 	Clock func() time.Time
 
 	mu sync.Mutex
-	// reports holds the reports of each fingerprint, at most one of them a clearance.
+	// reports holds the reports of each fingerprint, at most one of them a clearance of all servers.
 	reports map[Fingerprint][]Report
 	// order holds the fingerprint of every report, in the order of their addition.
 	order []Fingerprint
@@ -73,7 +81,18 @@
 		Server:      server,
 		ObservedAt:  d.now(),
 	}
-	if d.AddReport(report) && d.Broadcast != nil {
+	if !d.AddReport(report) {
+		return
+	}
+	if d.HasLostContact != nil {
+		time.Sleep(confirmationDelay)
+		if d.HasLostContact(server) {
+			report.Cleared = true
+			d.AddReport(report)
+			return
+		}
+	}
+	if d.Broadcast != nil {
 		d.Broadcast(report)
 	}
 }
@@ -169,16 +188,22 @@
 // fingerprint.
 func (r Report) isRedundantTo(known Report) bool {
 	if known.Cleared {
-		return !r.ObservedAt.After(known.ObservedAt)
+		return known.clears(r)
 	}
 	return !r.Cleared && r.Server == known.Server && r.ObservedAt.Sub(known.ObservedAt).Abs() < duplicateInterval
 }
 
+// clears reports whether the clearance applies to a report of the same fingerprint.
+func (r Report) clears(known Report) bool {
+	isOfServer := !r.Server.IsValid() || r.Server == known.Server
+	return r.Cleared && isOfServer && !known.ObservedAt.After(r.ObservedAt)
+}
+
 // removeCleared removes the reports that do not count any more because of the clearance.
 func (d *Detector) removeCleared(clearance Report) {
 	f := clearance.Fingerprint
 	before := len(d.reports[f])
-	d.reports[f] = slices.DeleteFunc(d.reports[f], func(known Report) bool { return !known.ObservedAt.After(clearance.ObservedAt) })
+	d.reports[f] = slices.DeleteFunc(d.reports[f], clearance.clears)
 	removed := before - len(d.reports[f])
 	d.order = slices.DeleteFunc(d.order, func(other Fingerprint) bool {
 		if other != f || removed == 0 {
--- a/crashdetect/detector_test.go
+++ b/crashdetect/detector_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/url"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -19,6 +20,7 @@
 var (
 	firstServer  = netip.MustParseAddrPort("10.0.0.1:80")
 	secondServer = netip.MustParseAddrPort("10.0.0.2:80")
+	thirdServer  = netip.MustParseAddrPort("10.0.0.3:80")
 )
 
 func newRequest(path string, body exchange.Body) *exchange.Request {
@@ -215,3 +217,30 @@
 	detector.RecordBrokenConnection(order, secondServer)
 	require.True(t, detector.ShouldReject(order))
 }
+
+// TestCrashesDoNotCountWhenTheLinksTurnOutToBeBroken guards against the same if a neighbor was still reachable
+// when the connection broke. The report of another host, about another server, stays.
+func TestCrashesDoNotCountWhenTheLinksTurnOutToBeBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hasLost := true
+		other := &crashdetect.Detector{}
+		detector := &crashdetect.Detector{
+			IsReachable:    func(netip.AddrPort) bool { return false },
+			HasContact:     func(netip.AddrPort) bool { return true },
+			HasLostContact: func(netip.AddrPort) bool { return hasLost },
+			Broadcast:      func(report crashdetect.Report) { other.AddReport(report) },
+		}
+		order := newRequest("/orders", bytesBody("chalk"))
+		other.RecordBrokenConnection(order, thirdServer)
+		reported := other.Reports()[0]
+		detector.AddReport(reported)
+		detector.RecordBrokenConnection(order, firstServer)
+		detector.RecordBrokenConnection(order, secondServer)
+		for _, d := range []*crashdetect.Detector{detector, other} {
+			require.Equal(t, 1, d.CrashCount(reported.Fingerprint))
+		}
+		hasLost = false
+		detector.RecordBrokenConnection(order, firstServer)
+		require.True(t, other.ShouldReject(order))
+	})
+}
--- a/crashdetect/report.go
+++ b/crashdetect/report.go
@@ -9,7 +9,8 @@
 near it do, the detector assumes that the request crashed the server. After two crashes the request is
 rejected for a while; other requests of the same caller are not affected. A request that
 gets a response is cleared, because backend servers also crash for other reasons, and a frequent
-request is likely to be running on any server that crashes. Hosts exchange crashes and
+request is likely to be running on any server that crashes. A crash no longer counts if the host
+then finds that its links have failed. Hosts exchange crashes and
 clearances as [Report] messages, which may arrive by any transport, in any order and any
 number of times.
 
@@ -19,6 +20,7 @@
 		Broadcast:   broadcast,   // sends each new report to the other hosts
 		IsReachable: isReachable, // whether a server accepts a new connection
 		HasContact:  hasContact,  // whether other servers near it do
+		HasLostContact: hasLostContact, // whether, some time later, no others do
 	}
 	if detector.ShouldReject(request) {
 		return request.Reject(retry.RequestCrashesServers)
@@ -45,10 +47,11 @@
 
 // Report is the message that hosts exchange about a request. There are two kinds: a crash
 // report says that a backend server crashed while it ran the request, and a clearance
-// says that the request got a response.
+// says that the request got a response, or that a server did not crash after all.
 type Report struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
-	// Server is the address of the server that crashed. It is not set in a clearance.
+	// Server is the address of the server that crashed. In a clearance it is that of the one which did
+	// not; if it is not set, the clearance applies to all servers.
 	Server netip.AddrPort `json:"server"`
 	// ObservedAt is the time of the crash or the response, by the clock of the host that
 	// observed it.
--- a/internal/host/contact.go
+++ b/internal/host/contact.go
@@ -14,6 +14,7 @@
 	"trefoilline.example/trefoilline/bufferproxy"
 	"trefoilline.example/trefoilline/membership"
 	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/placement"
 )
 
 const (
@@ -97,6 +98,21 @@
 	return len(neighbors) == 0 || h.probe(context.Background(), neighbors) == nil
 }
 
+// hasLostContactBeside reports whether this host reaches no other server near the given one. A request
+// that crashes servers may have crashed the few of a small zone, so in that case it also needs
+// that no server elsewhere is reachable. It takes up to connectTimeout.
+func (h *host) hasLostContactBeside(server netip.AddrPort) bool {
+	if h.pool.IsCutOff() {
+		return true
+	}
+	others := h.pool.Neighbors(server)
+	if len(others) < placement.MaxNeighbors {
+		others = append(others, h.pool.ProbeTargets(h.settings().Zone)...)
+	}
+	others = slices.DeleteFunc(others, func(other netip.AddrPort) bool { return other == server })
+	return len(others) > 0 && h.probe(context.Background(), others) != nil
+}
+
 // findHost returns another host to which a request can be forwarded: one that reaches backend
 // servers, in this region if there is one. It returns false if there is none in the regions that
 // all lists allow.
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -155,9 +155,10 @@
 		ResponseTimeout:       responseTimeout,
 	}
 	h.crashDetector = &crashdetect.Detector{
-		Broadcast:   h.queueCrashReport,
-		IsReachable: h.isReachable,
-		HasContact:  h.hasContactBeside,
+		Broadcast:      h.queueCrashReport,
+		IsReachable:    h.isReachable,
+		HasContact:     h.hasContactBeside,
+		HasLostContact: h.hasLostContactBeside,
 	}
 	h.handler = &bufferproxy.Handler{
 		Pool:        h.pool,
--- a/placement/contact.go
+++ b/placement/contact.go
@@ -153,9 +153,9 @@
 	return targets
 }
 
-// maxNeighbors is how many servers [Pool.Neighbors] returns. A request that crashes servers may have
+// MaxNeighbors is how many servers [Pool.Neighbors] returns at most. A request that crashes servers may have
 // crashed some of them.
-const maxNeighbors = 3
+const MaxNeighbors = 3
 
 // Neighbors returns the addresses of some random other servers near the one with the given address: of
 // its zone if there are any, else of its region, else of the other regions.
@@ -185,7 +185,7 @@
 	for _, near := range byDistance {
 		if len(near) > 0 {
 			rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-			return near[:min(len(near), maxNeighbors)]
+			return near[:min(len(near), MaxNeighbors)]
 		}
 	}
 	return nil
