Log connections that are closed on a caller who has no answer

The log named no connection, so it could not tell a request that was read and dropped from one that never came in, nor a close with bytes unread from others.

Change: the connections of a host's servers keep what was received and sent on them; event 106 says so when the host closes one with something unanswered. No decision changes.

--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"trefoilline.example/trefoilline/internal/connection"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/platform"
 )
@@ -107,7 +108,7 @@
 			// Only the metrics address is optional.
 			continue
 		}
-		listener, err := net.Listen("tcp", s.address.String())
+		listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(s.address))
 		if err != nil {
 			return nil, &ListenError{
 				Address: s.address,
@@ -121,7 +122,10 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 		}
 		servers = append(servers, server)
-		go h.serve(server, listener)
+		go h.serve(server, &connection.Listener{
+			TCPListener: listener,
+			Log:         h.log,
+		})
 	}
 	return servers, nil
 }
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -45,6 +45,20 @@
 		Cause:  "The host has stopped; cut is the number of requests that were still running.",
 		Action: "If cut is above zero, raise --drain-limit or grace-seconds: some requests run longer than it allows.",
 	}
+	ConnectionClosedEarly = Event{
+		Number: 106,
+		Name:   "connection-closed-early",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"caller",
+			"unanswered",
+			"unread",
+			"sent",
+			"open",
+		},
+		Cause:  "The host closed a caller's connection on which it had received something that it did not answer; unanswered is how many bytes it had read since the last that it sent, unread whether there were more, sent how many bytes it had sent in all, and open for how long the connection was open. If unread is true, an answer that is still on its way does not arrive.",
+		Action: "If it comes at stops, raise --drain-limit or grace-seconds; else report it.",
+	}
 	TableApplied = Event{
 		Number: 200,
 		Name:   "table-in-force",
--- a/observe/list.go
+++ b/observe/list.go
@@ -9,6 +9,7 @@
 		ServingFailed,
 		SettingsApplied,
 		SettingsInvalid,
+		ConnectionClosedEarly,
 		TableApplied,
 		TableUnreadable,
 		KeysApplied,
