Close connections only once their last answer has arrived

Cause: net/http closes a connection right after its last answer was handed to the kernel. If bytes of the caller are unread then, or arrive while the answer is on its way, the kernel resets the connection and drops what it has not sent. A draining host makes each answer the last one of its connection, so callers that send requests behind others lose answers at stops; a body that is refused before it is in does the same at any time. Ruled out: a break of the server's connection (answers are read whole first), and the end of the process (answers broke off from 0.0 s after the SIGTERM on).

Change: a host ends its side of the connection and discards what still comes until the caller closes it too, for 10 s and on 512 connections of a server at most, and never past the stop. A connection that is closed as idle is not waited for unless the kernel says that something is unsent, so that a request that crosses the close stays unread. Event 106 names connections closed with something unsent.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -5,17 +5,12 @@
 	"net/http"
 	"sync/atomic"
 	"time"
-
-	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
-
-	"trefoilline.example/trefoilline/observe"
 )
 
 // conn is an accepted connection. It is safe for concurrent use.
 type conn struct {
 	*net.TCPConn
-	log      observe.Log
+	server   *Server
 	accepted time.Time
 	// received is the number of bytes that were received since the last were sent.
 	received atomic.Int64
@@ -23,8 +18,8 @@
 	// ended is true once the other end has closed the connection, or it broke.
 	ended  atomic.Bool
 	closed atomic.Bool
-	// state is what the HTTP server does with the connection. The server's mutex guards it.
-	state http.ConnState
+	// state is what the HTTP server does with the connection, an [http.ConnState].
+	state atomic.Int32
 	// ending is true while the connection is to be closed unless something arrives.
 	ending atomic.Bool
 }
@@ -53,9 +48,13 @@
 	return n, err
 }
 
-// Close closes the connection, and logs it if the caller may have lost something by it.
+// Close closes the connection once the caller has read the last answer, for which it waits, and logs it if the
+// caller may have lost something by it.
 func (c *conn) Close() error {
-	if !c.closed.Swap(true) && !c.ended.Load() {
+	if c.closed.Swap(true) {
+		return nil
+	}
+	if !c.ended.Load() && !(c.isAnswerOnItsWay() && c.awaitDelivery()) {
 		c.logLoss()
 	}
 	return c.TCPConn.Close()
@@ -72,6 +71,9 @@
 // past is a deadline that ends a read at once.
 var past = time.Unix(1, 0)
 
+// isIn reports whether the HTTP server's state of the connection is the given one.
+func (c *conn) isIn(state http.ConnState) bool { return http.ConnState(c.state.Load()) == state }
+
 // endIfSilent lets the HTTP server close the connection if nothing has arrived since the last answer. What
 // arrives before the server has closed it is read and answered.
 func (c *conn) endIfSilent() {
@@ -90,33 +92,6 @@
 	}
 }
 
-// logLoss logs what a close by this host may cost the caller.
-func (c *conn) logLoss() {
-	received, unread := c.received.Load(), c.hasUnread()
-	if received == 0 && !unread {
-		return
-	}
-	c.log.Write(observe.ConnectionClosedEarly, zap.String("caller", c.RemoteAddr().String()),
-		zap.Int64("unanswered", received), zap.Bool("unread", unread), zap.Int64("sent", c.sent.Load()),
-		zap.Duration("open", time.Since(c.accepted)))
-}
-
-// hasUnread reports whether the system holds received bytes that were not read. The system drops what is
-// still to be sent if such a connection is closed.
-func (c *conn) hasUnread() bool {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	hasUnread := false
-	err = raw.Control(func(descriptor uintptr) {
-		var first [1]byte
-		n, _, peekErr := unix.Recvfrom(int(descriptor), first[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		hasUnread = peekErr == nil && n > 0
-	})
-	return err == nil && hasUnread
-}
-
 // isTimeout reports whether a read ended because of its deadline.
 func isTimeout(err error) bool {
 	timeout, ok := err.(net.Error)
--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -3,10 +3,10 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,7 +149,7 @@
 	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
 	var open *connection.OpenError
-	require.True(t, errors.As(s.stop(time.Second/2), &open))
+	require.ErrorAs(t, s.stop(time.Second/2), &open)
 	require.Equal(t, 1, open.Connections)
 	require.NoError(t, s.Close())
 	require.Eventually(t, func() bool { return s.logs.Len() > 0 }, waitTimeout, time.Millisecond)
@@ -157,3 +157,70 @@
 	require.Len(t, logged, 1)
 	require.Equal(t, int64(16), logged[0].ContextMap()["unanswered"])
 }
+
+// longAnswer is longer than what a caller's receive buffer and the server's send buffer hold.
+var longAnswer = make([]byte, 16<<20)
+
+// answerLong answers with longAnswer as the last answer of the connection.
+func answerLong(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	_, _ = w.Write(longAnswer)
+}
+
+// TestLastAnswerArrivesWhateverIsSentBehindIt guards against answers that break off because the server closes the
+// connection while the caller's bytes arrive: a request behind the last one, or the rest of a body that was refused.
+func TestLastAnswerArrivesWhateverIsSentBehindIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		first  string
+		behind string
+	}{
+		"a request": {
+			first:  request,
+			behind: request,
+		},
+		"a body": {
+			first:  "POST / HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 1000000\r\n\r\n",
+			behind: strings.Repeat("b", 900_000),
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, answerLong)
+			caller := s.connect()
+			_, err := io.WriteString(caller, c.first)
+			require.NoError(t, err)
+			reader := bufio.NewReader(caller)
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			// Much of the rest is on its way when the server closes the connection.
+			_, err = io.CopyN(io.Discard, response.Body, int64(len(longAnswer)/2))
+			require.NoError(t, err)
+			_, err = io.WriteString(caller, c.behind)
+			require.NoError(t, err)
+			n, err := io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			require.EqualValues(t, len(longAnswer)/2, n)
+			require.NoError(t, caller.Close())
+			require.NoError(t, s.stop(waitTimeout))
+			require.Empty(t, s.logs.All())
+		})
+	}
+}
+
+// TestCallerThatNeverReadsDoesNotHoldUpTheStop guards against stops that last as long as a caller likes.
+func TestCallerThatNeverReadsDoesNotHoldUpTheStop(t *testing.T) {
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		_, _ = w.Write(longAnswer[:64<<10])
+	})
+	caller := s.connect()
+	_, err := io.WriteString(caller, request)
+	require.NoError(t, err)
+	_, err = caller.Read(make([]byte, 1))
+	require.NoError(t, err)
+	var open *connection.OpenError
+	require.ErrorAs(t, s.stop(time.Second/2), &open)
+	require.NoError(t, s.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	require.NoError(t, s.Wait(ctx))
+}
--- /dev/null
+++ b/internal/connection/delivery.go
@@ -0,0 +1,52 @@
+package connection
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// deliveryTimeout is how long a connection that the host closes stays open for a caller that does not
+	// close it.
+	deliveryTimeout = 10 * time.Second
+	// maxAwaited is how many connections of a server stay open so at a time, since each takes memory and a
+	// file descriptor.
+	maxAwaited = 512
+	// discardBytes is how many bytes are discarded at once.
+	discardBytes = 2 << 10
+)
+
+// isAnswerOnItsWay reports whether the caller may not have received all that was sent.
+func (c *conn) isAnswerOnItsWay() bool {
+	if c.sent.Load() == 0 {
+		return false
+	}
+	// On an idle connection the caller has had time to read the last answer, and a request that arrives now is better
+	// left unread.
+	return c.isIn(http.StateActive) || c.unsentBytes() > 0
+}
+
+// awaitDelivery tells the caller that no more answers come, and discards what it still sends until it closes
+// the connection too, which it does once it has read the last answer. It reports whether the caller has done so
+// in time.
+//
+// Closed without this, a connection is reset when a request arrives that the caller has sent behind the last
+// one, or a part of a body that is not wanted, and the system drops what is still to be sent.
+func (c *conn) awaitDelivery() bool {
+	if c.server.awaited.Add(1) > maxAwaited {
+		c.server.awaited.Add(-1)
+		return false
+	}
+	defer c.server.awaited.Add(-1)
+	if c.CloseWrite() != nil || c.TCPConn.SetReadDeadline(time.Now().Add(deliveryTimeout)) != nil {
+		return false
+	}
+	discarded := make([]byte, discardBytes)
+	// Server.Close ends the reads of all connections after it has set isClosed.
+	for !c.server.isClosed.Load() {
+		if _, err := c.TCPConn.Read(discarded); err != nil {
+			return !isTimeout(err)
+		}
+	}
+	return false
+}
--- a/internal/connection/doc.go
+++ b/internal/connection/doc.go
@@ -1,7 +1,9 @@
 /*
 Package connection serves HTTP on the connections that a host accepts, and stops without a loss for callers:
-each request that was read is answered, up to the end of the stop. It is a thin layer over [net/http], whose own Shutdown
-drops a request that is read after it was called. It logs the connections on which a caller may have lost something.
+each request that was read is answered, up to the end of the stop, and each last answer of a connection is delivered before the
+connection is closed, at any time. It is a thin layer over [net/http], whose Shutdown drops a request that is read after it was
+called, and which closes connections while answers are on their way. It logs the connections on which a caller may have lost
+something.
 
 # Usage
 
--- a/internal/connection/listener.go
+++ b/internal/connection/listener.go
@@ -25,7 +25,7 @@
 	}
 	c := &conn{
 		TCPConn:  accepted,
-		log:      l.server.Log,
+		server:   l.server,
 		accepted: time.Now(),
 	}
 	l.server.add(c)
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -19,8 +19,10 @@
 	HTTP *http.Server
 	Log  observe.Log
 
-	isStopping atomic.Bool
-	// mu guards the fields below, and the state of each connection.
+	isStopping, isClosed atomic.Bool
+	// awaited is how many connections wait until their callers have read the last answer.
+	awaited atomic.Int64
+	// mu guards the fields below.
 	mu        sync.Mutex
 	listener  *listener
 	isServing bool
@@ -88,7 +90,7 @@
 		s.listener.stop()
 	}
 	for c := range s.conns {
-		if c.state == http.StateIdle {
+		if c.isIn(http.StateIdle) {
 			c.endIfSilent()
 		}
 	}
@@ -101,7 +103,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		if c.state != http.StateActive {
+		if !c.isIn(http.StateActive) {
 			c.endIfSilent()
 		}
 	}
@@ -129,8 +131,17 @@
 	}
 }
 
-// Close closes all connections at once.
-func (s *Server) Close() error { return s.HTTP.Close() }
+// Close closes all connections at once, also those whose callers have not read the last answer.
+func (s *Server) Close() error {
+	s.isClosed.Store(true)
+	s.mu.Lock()
+	for c := range s.conns {
+		// An error means that the connection is closed.
+		_ = c.TCPConn.SetReadDeadline(past)
+	}
+	s.mu.Unlock()
+	return s.HTTP.Close()
+}
 
 // add keeps an accepted connection.
 func (s *Server) add(c *conn) {
@@ -147,7 +158,7 @@
 	c := accepted.(*conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.state = state
+	c.state.Store(int32(state))
 	switch {
 	case state == http.StateClosed:
 		delete(s.conns, c)
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -55,9 +55,10 @@
 			"unanswered",
 			"unread",
 			"sent",
+			"unsent",
 			"open",
 		},
-		Cause:  "The host closed a caller's connection on which it had received something that it did not answer; unanswered is how many bytes it had read since the last that it sent, unread whether there were more, sent how many bytes it had sent in all, and open for how long the connection was open. If unread is true, an answer that is still on its way does not arrive.",
+		Cause:  "The host closed a caller's connection on which it had received something that it did not answer, or before the caller had its last answer; unanswered is how many bytes it had read since the last that it sent, unread whether there were more, sent how many bytes it had sent in all, unsent how many of them the caller had not received, and open for how long the connection was open. If unread is true, what is unsent does not arrive.",
 		Action: "If it comes at stops, raise --drain-limit or grace-seconds; else report it.",
 	}
 	TableApplied = Event{
