Stop trefoillined run without dropping requests on open connections

Change: it uses internal/connection like trefoillined serve. Its event 102 says how many connections were open at the end instead of an error of the shutdown.

Failed before: TestRequestOnAnOpenConnectionIsAnsweredAtAStop (scenario, real processes): unexpected EOF.

--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -77,8 +77,8 @@
 	return response
 }
 
-// stop stops the server, and returns the error of Wait.
-func (s *testServer) stop(timeout time.Duration) error {
+// stop stops the server, and returns how many connections are still open after the timeout.
+func (s *testServer) stop(timeout time.Duration) int {
 	ctx, cancel := context.WithTimeout(s.t.Context(), timeout)
 	defer cancel()
 	s.StopAccepting()
@@ -95,7 +95,7 @@
 	reader := bufio.NewReader(kept)
 	s.ask(kept, reader)
 	unused := s.connect()
-	require.NoError(t, s.stop(waitTimeout))
+	require.Zero(t, s.stop(waitTimeout))
 	require.NoError(t, <-s.served)
 	for _, connection := range []io.Reader{reader, unused} {
 		_, err := connection.Read(make([]byte, 1))
@@ -139,7 +139,7 @@
 	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, response.StatusCode)
-	require.NoError(t, s.stop(waitTimeout))
+	require.Zero(t, s.stop(waitTimeout))
 }
 
 // TestCloseWithoutAnswerIsLogged guards against requests that are dropped without a trace in the log.
@@ -148,9 +148,7 @@
 	caller := s.connect()
 	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
-	var open *connection.OpenError
-	require.ErrorAs(t, s.stop(time.Second/2), &open)
-	require.Equal(t, 1, open.Connections)
+	require.Equal(t, 1, s.stop(time.Second/2))
 	require.NoError(t, s.Close())
 	require.Eventually(t, func() bool { return s.logs.Len() > 0 }, waitTimeout, time.Millisecond)
 	logged := s.logs.FilterMessage(observe.ConnectionClosedEarly.Name).All()
@@ -200,7 +198,7 @@
 			require.NoError(t, err)
 			require.EqualValues(t, len(longAnswer)/2, n)
 			require.NoError(t, caller.Close())
-			require.NoError(t, s.stop(waitTimeout))
+			require.Zero(t, s.stop(waitTimeout))
 			require.Empty(t, s.logs.All())
 		})
 	}
@@ -217,10 +215,9 @@
 	require.NoError(t, err)
 	_, err = caller.Read(make([]byte, 1))
 	require.NoError(t, err)
-	var open *connection.OpenError
-	require.ErrorAs(t, s.stop(time.Second/2), &open)
+	require.Equal(t, 1, s.stop(time.Second/2))
 	require.NoError(t, s.Close())
 	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
 	defer cancel()
-	require.NoError(t, s.Wait(ctx))
+	require.Zero(t, s.Wait(ctx))
 }
--- a/internal/connection/doc.go
+++ b/internal/connection/doc.go
@@ -16,7 +16,7 @@
 	go server.Serve(listener)
 	<-ctx.Done()
 	server.StopAccepting()
-	err := server.Wait(stopContext)
+	open := server.Wait(stopContext)
 	server.Close()
 */
 package connection
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -109,26 +109,19 @@
 	}
 }
 
-// Wait waits until all connections are closed after StopAccepting. It returns an [OpenError] if some are still open
-// when the context ends.
-func (s *Server) Wait(ctx context.Context) error {
+// Wait waits until all connections are closed after StopAccepting, at most until the context ends, and returns
+// how many are still open.
+func (s *Server) Wait(ctx context.Context) int {
 	s.mu.Lock()
 	over := s.over
 	s.mu.Unlock()
 	select {
 	case <-over:
-		return nil
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.isOver() {
-		return nil
-	}
-	return &OpenError{
-		Connections: len(s.conns),
-		Cause:       ctx.Err(),
-	}
+	return len(s.conns)
 }
 
 // Close closes all connections at once, also those whose callers have not read the last answer.
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"trefoilline.example/trefoilline/internal/connection"
 	"trefoilline.example/trefoilline/observe"
 )
 
@@ -24,10 +24,10 @@
 }
 
 // drain takes the host out of look-up answers, serves requests until cached answers have
-// expired and running requests are done, and closes the server. Requests that still run shortly before
+// expired and running requests are answered, and closes the server. Requests that still run shortly before
 // the end of DrainTimeout are ended and answered with what is known of them, since a caller whose
 // connection is cut knows less. After DrainTimeout drain closes the connections that remain.
-func (d *daemon) drain(server *http.Server, endRequests context.CancelFunc) error {
+func (d *daemon) drain(server *connection.Server, endRequests context.CancelFunc) error {
 	d.log.Write(observe.DrainingStarted, zap.Int("running", d.handler.RunningRequests()))
 	d.draining.Store(true)
 	d.fleetNode.StartDraining()
@@ -38,23 +38,22 @@
 	serving, stopServing := context.WithDeadline(context.Background(), end.Add(-d.settings.answerTime()))
 	defer stopServing()
 	sleep(serving, d.settings.LookUpTTL)
-	err := server.Shutdown(serving)
+	server.StopAccepting()
+	open := server.Wait(serving)
 	interrupted := d.handler.RunningRequests()
-	if err != nil {
+	if open > 0 {
 		endRequests()
-		err = shutdown(server, end)
+		open = waitUntil(server, end)
 	}
-	d.log.Write(observe.Stopped, zap.Int("cut", interrupted), zap.Duration("drain-time", time.Since(startedAt)))
-	if err != nil {
-		return server.Close()
-	}
-	return nil
+	err := server.Close()
+	d.log.Write(observe.Stopped, zap.Int("cut", interrupted), zap.Int("open", open), zap.Duration("drain-time", time.Since(startedAt)))
+	return err
 }
 
-// shutdown closes the listeners and waits until all requests are answered, at most until the given
-// time.
-func shutdown(server *http.Server, until time.Time) error {
-	ctx, cancel := context.WithDeadline(context.Background(), until)
+// waitUntil waits until all connections are closed, at most until the given time, and returns how many are
+// still open then.
+func waitUntil(server *connection.Server, end time.Time) int {
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	return server.Shutdown(ctx)
+	return server.Wait(ctx)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -15,6 +15,7 @@
 	"trefoilline.example/trefoilline/backend"
 	"trefoilline.example/trefoilline/fleet/peer"
 	"trefoilline.example/trefoilline/globallimit"
+	"trefoilline.example/trefoilline/internal/connection"
 	"trefoilline.example/trefoilline/internal/fleetauth"
 	"trefoilline.example/trefoilline/observe"
 )
@@ -33,7 +34,7 @@
 // server.
 func Run(ctx context.Context, settings Settings) error {
 	log := newLog(os.Stderr, settings.Host, settings.LogFormat, zap.NewAtomicLevelAt(settings.LogLevel))
-	listener, err := net.Listen("tcp", settings.ListenAddress.String())
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(settings.ListenAddress))
 	if err != nil {
 		return &ListenError{
 			Address: settings.ListenAddress.String(),
@@ -48,11 +49,14 @@
 
 	requests, endRequests := context.WithCancel(context.Background())
 	defer endRequests()
-	server := &http.Server{
-		BaseContext:       func(net.Listener) context.Context { return requests },
-		Handler:           d.routes(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
+	server := &connection.Server{
+		HTTP: &http.Server{
+			BaseContext:       func(net.Listener) context.Context { return requests },
+			Handler:           d.routes(),
+			ReadHeaderTimeout: readHeaderTimeout,
+			IdleTimeout:       idleTimeout,
+		},
+		Log: log,
 	}
 	serveResult := make(chan error, 1)
 	go func() { serveResult <- server.Serve(listener) }()
--- a/internal/host/drain.go
+++ b/internal/host/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -75,10 +74,7 @@
 	defer cancel()
 	open := 0
 	for _, s := range servers {
-		var openErr *connection.OpenError
-		if errors.As(s.Wait(ctx), &openErr) {
-			open += openErr.Connections
-		}
+		open += s.Wait(ctx)
 	}
 	return open
 }
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -43,7 +43,7 @@
 			"open",
 			"drain-time",
 		},
-		Cause:  "The host has stopped; cut is the number of requests that were still running shortly before the end, and open the number of connections that were still open at the end (trefoillined serve).",
+		Cause:  "The host has stopped; cut is the number of requests that were still running shortly before the end, and open the number of connections that were still open at the end.",
 		Action: "If cut is above zero, raise --drain-limit or grace-seconds: some requests run longer than it allows.",
 	}
 	ConnectionClosedEarly = Event{
@@ -183,7 +183,7 @@
 			"address",
 			"error",
 		},
-		Cause:  "A listener of the host failed, or, with trefoillined run, a connection was still open at the end of the shutdown time.",
+		Cause:  "A listener of the host failed, or could not be closed.",
 		Action: "Check the error; restart the host if it no longer accepts connections.",
 	}
 	ConfigurationApplied = Event{
--- a/scenario/once_test.go
+++ b/scenario/once_test.go
@@ -1,7 +1,9 @@
 package scenario_test
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -165,6 +167,36 @@
 	require.Contains(t, stopping.stderr.String(), `"cut":1`)
 }
 
+// TestRequestOnAnOpenConnectionIsAnsweredAtAStop guards against requests that a host reads and drops because they arrive on
+// open connections after it has closed its listener.
+func TestRequestOnAnOpenConnectionIsAnsweredAtAStop(t *testing.T) {
+	f := newTestFleet(t, 4)
+	key, _ := f.issueKey("bright-start")
+	stopping := f.hosts[0]
+	require.NoError(t, stopping.command.Process.Signal(gracefulStopSignal))
+	var connections []net.Conn
+	f.waitFor("the host closes its listener", func() bool {
+		connection, err := net.Dial("tcp", stopping.Address.String())
+		if err != nil {
+			return true
+		}
+		t.Cleanup(func() { connection.Close() })
+		connections = append(connections, connection)
+		return false
+	})
+	for _, connection := range connections[len(connections)/2:] {
+		request, err := http.NewRequest(http.MethodGet, "http://"+stopping.Address.String()+"/stock", nil)
+		require.NoError(t, err)
+		request.Header.Set("Authorization", "Bearer "+key)
+		require.NoError(t, request.Write(connection))
+		response, err := http.ReadResponse(bufio.NewReader(connection), request)
+		require.NoError(t, err, "the request gets no answer")
+		require.True(t, response.Close)
+		require.NoError(t, response.Body.Close())
+	}
+	require.NoError(t, stopping.command.Wait())
+}
+
 // runningRequests returns how many requests the host says it is running.
 func runningRequests(f *testFleet, h *process) int {
 	running := 0
