Reject uploads that a stopping host can not serve while they arrive

Cause: while a host stops, a request whose body arrives slowly was judged only once its body was in. Its caller sent all of it in vain, or, if it was not in by the end of the stop, got no answer.

Change: when a draining host stops accepting everything, it rejects the requests whose body is still arriving and that may outlast it; at its end it rejects all of these. They get 503 at once.

Failed before: TestUploadThatCannotBeServedIsRejectedWhileItArrives, both cases: no answer until the test timed out. Besides, a host ends at three quarters of its shutdown margin, not at five sixths: 150 ms before it would be killed instead of 100.

--- a/bufferproxy/draining.go
+++ b/bufferproxy/draining.go
@@ -20,14 +20,17 @@
 // StartDraining tells the handler that the host will end the running requests after the given
 // time. From now on the handler closes the caller's connection after each response, so that the
 // caller sends its next requests to another host. After a while it rejects requests whose
-// deadline is later than that, because they might not end before the host stops.
+// deadline is later than that, because they might not end before the host stops, also those whose body has not
+// arrived until then.
 func (h *Handler) StartDraining(timeToStop time.Duration) {
 	now := h.now()
-	acceptAllTime := time.Duration(acceptAllFraction * float64(timeToStop))
-	h.draining.Store(&drainingPeriod{
-		acceptAllUntil: now.Add(min(acceptAllTime, maxAcceptAllTime)),
+	acceptAllTime := min(time.Duration(acceptAllFraction*float64(timeToStop)), maxAcceptAllTime)
+	period := &drainingPeriod{
+		acceptAllUntil: now.Add(acceptAllTime),
 		end:            now.Add(timeToStop),
-	})
+	}
+	h.draining.Store(period)
+	time.AfterFunc(acceptAllTime, func() { h.rejectUploads(period.end) })
 }
 
 // accepts reports whether a request that is read at the given time and must end by the deadline
--- a/bufferproxy/draining_test.go
+++ b/bufferproxy/draining_test.go
@@ -90,3 +90,39 @@
 	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
 	require.Zero(t, host.requestCounts[0].Load())
 }
+
+// TestUploadThatCannotBeServedIsRejectedWhileItArrives guards against requests of a host that stops whose callers send all of a
+// body in vain, or get no answer since it is not in at the end.
+func TestUploadThatCannotBeServedIsRejectedWhileItArrives(t *testing.T) {
+	for name, timeout := range map[string]string{
+		"it may outlast the host":       "15298",
+		"the host ends before the body": "100",
+	} {
+		t.Run(name, func(t *testing.T) {
+			host := newTestHost(t, respondOK)
+			slow := configuration()
+			slow.Version++
+			for i := range slow.Routes {
+				slow.Routes[i].Timeout = 2 * drainTime
+			}
+			host.handler.SetConfiguration(routing.NewIndex(slow))
+			reader, writer := io.Pipe()
+			defer writer.Close()
+			r := host.request(http.MethodPost, "/orders/7", "")
+			r.Body, r.ContentLength = reader, 2
+			r.Header.Set(timeoutHeader, timeout)
+			go func() {
+				_, _ = io.WriteString(writer, "a")
+				require.Eventually(t, func() bool { return host.handler.RunningRequests() == 1 }, time.Minute, time.Millisecond)
+				host.handler.StartDraining(time.Second)
+				if timeout == "100" {
+					host.handler.EndRequests()
+				}
+			}()
+			response, _ := host.send(r)
+			require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+			require.True(t, response.Close)
+			require.Zero(t, host.requestCounts[0].Load())
+		})
+	}
+}
--- a/bufferproxy/end.go
+++ b/bufferproxy/end.go
@@ -1,6 +1,9 @@
 package bufferproxy
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // EndRequests ends all requests at once, since this host stops: those that no server can have run
 // with 503, the others with 502. They are answered when [Handler.RunningRequests] is zero.
@@ -9,4 +12,5 @@
 		cancel.(context.CancelFunc)()
 		return true
 	})
+	h.rejectUploads(time.Time{})
 }
--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -137,6 +137,8 @@
 	running        atomic.Int64
 	// cancels holds the functions that end the running requests, by their states.
 	cancels sync.Map
+	// uploads holds what ends the reading of a body, by the states of the requests whose bodies are being read.
+	uploads sync.Map
 	// draining is nil while the host is not draining.
 	draining atomic.Pointer[drainingPeriod]
 }
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -155,11 +155,9 @@
 	if !isStream {
 		return nil
 	}
-	body, err := exchange.BufferBody(stream, MaxBufferedBodyBytes)
+	body, err := s.readBody(stream)
 	if err != nil {
-		return &BodyError{
-			Cause: err,
-		}
+		return err
 	}
 	s.serverRequest.Body = body
 	return nil
--- a/internal/host/drain.go
+++ b/internal/host/drain.go
@@ -26,7 +26,7 @@
 // which the host ends, so that its process does before the platform kills it.
 const (
 	endFraction  = 0.5
-	exitFraction = 5.0 / 6
+	exitFraction = 0.75
 )
 
 // drain removes the host from lookup responses and writes to the store that it stops, but keeps serving until
