Discard the rest of a refused body at once instead of half a second later

Cause: after an answer to a request whose body it has not read, net/http ends its side, reads nothing for half a second, and then closes.

Change: the connection is closed, with its delivery awaited, when net/http ends its side.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -57,9 +57,15 @@
 	if !c.ended.Load() && !(c.isAnswerOnItsWay() && c.awaitDelivery()) {
 		c.logLoss()
 	}
-	return c.TCPConn.Close()
+	err := c.TCPConn.Close()
+	c.server.remove(c)
+	return err
 }
 
+// CloseWrite closes the connection like Close. The HTTP server calls it after an answer to a request whose body it has not
+// read, and would then wait for a fixed time in which it reads nothing.
+func (c *conn) CloseWrite() error { return c.Close() }
+
 // SetReadDeadline sets the time at which reads end. A connection that is to be closed keeps its own.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	if c.ending.Load() {
--- a/internal/connection/delivery.go
+++ b/internal/connection/delivery.go
@@ -38,7 +38,7 @@
 		return false
 	}
 	defer c.server.awaited.Add(-1)
-	if c.CloseWrite() != nil || c.TCPConn.SetReadDeadline(time.Now().Add(deliveryTimeout)) != nil {
+	if c.TCPConn.CloseWrite() != nil || c.TCPConn.SetReadDeadline(time.Now().Add(deliveryTimeout)) != nil {
 		return false
 	}
 	discarded := make([]byte, discardBytes)
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -146,6 +146,14 @@
 	s.conns[c] = struct{}{}
 }
 
+// remove forgets a connection that is closed.
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.signalIfOver()
+}
+
 // updateState notes what the HTTP server does with a connection.
 func (s *Server) updateState(accepted net.Conn, state http.ConnState) {
 	c := accepted.(*conn)
@@ -153,9 +161,6 @@
 	defer s.mu.Unlock()
 	c.state.Store(int32(state))
 	switch {
-	case state == http.StateClosed:
-		delete(s.conns, c)
-		s.signalIfOver()
 	case state == http.StateActive:
 		c.resume()
 	case state == http.StateIdle && s.isStopping.Load():
