Cut off callers that send without end behind their last answer

Cause: a connection whose last answer is on its way is read until its caller closes it, for ten seconds at most; a caller may send any number of bytes meanwhile.

Change: 32 MB at most are discarded. Failed before: TestCallerThatSendsWithoutEndIsCutOff, 256 MB were taken.

--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -221,3 +221,18 @@
 	defer cancel()
 	require.Zero(t, s.Wait(ctx))
 }
+
+// TestCallerThatSendsWithoutEndIsCutOff guards against callers that keep a host busy with bytes that it discards.
+func TestCallerThatSendsWithoutEndIsCutOff(t *testing.T) {
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Connection", "close") })
+	caller := s.connect()
+	_, err := io.WriteString(caller, request)
+	require.NoError(t, err)
+	_, err = io.CopyN(caller, neverEnding{}, 256<<20)
+	require.Error(t, err)
+}
+
+// neverEnding is a reader without an end.
+type neverEnding struct{}
+
+func (neverEnding) Read(b []byte) (int, error) { return len(b), nil }
--- a/internal/connection/delivery.go
+++ b/internal/connection/delivery.go
@@ -12,8 +12,10 @@
 	// maxAwaited is how many connections of a server stay open so at a time, since each takes memory and a
 	// file descriptor.
 	maxAwaited = 512
-	// discardBytes is how many bytes are discarded at once.
+	// discardBytes is how many bytes are discarded at once, and maxDiscarded how many on a connection at most, since
+	// a caller may send bytes without end.
 	discardBytes = 2 << 10
+	maxDiscarded = 32 << 20
 )
 
 // isAnswerOnItsWay reports whether the caller may not have received all that was sent.
@@ -43,10 +45,12 @@
 	}
 	discarded := make([]byte, discardBytes)
 	// Server.Close ends the reads of all connections after it has set isClosed.
-	for !c.server.isClosed.Load() {
-		if _, err := c.TCPConn.Read(discarded); err != nil {
+	for total := 0; total < maxDiscarded && !c.server.isClosed.Load(); {
+		n, err := c.TCPConn.Read(discarded)
+		if err != nil {
 			return !isTimeout(err)
 		}
+		total += n
 	}
 	return false
 }
