Accept all connections in a listener's queue before it is closed

A stop went on to accept for 10 ms, which may pass on a busy host while connections are left.

Change: it accepts until none has come for 10 ms, for 100 ms at most. TestConnectionsInTheQueueAreAnsweredAtAStop fails without it: reset by peer.

--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -32,6 +32,13 @@
 
 // serve starts a server with the handler.
 func serve(t *testing.T, handler http.HandlerFunc) *testServer {
+	s, listener := listen(t, handler)
+	go func() { s.served <- s.Serve(listener) }()
+	return s
+}
+
+// listen returns a server with the handler that does not serve its listener yet.
+func listen(t *testing.T, handler http.HandlerFunc) (*testServer, *net.TCPListener) {
 	core, logs := observer.New(zap.InfoLevel)
 	listener, err := net.ListenTCP("tcp", &net.TCPAddr{
 		IP: net.IPv4(127, 0, 0, 1),
@@ -51,9 +58,8 @@
 		served:  make(chan error, 1),
 		logs:    logs,
 	}
-	go func() { s.served <- s.Serve(listener) }()
 	t.Cleanup(func() { s.Close() })
-	return s
+	return s, listener
 }
 
 // connect opens a connection to the server.
@@ -121,6 +127,27 @@
 	require.True(t, response.Close)
 }
 
+// TestConnectionsInTheQueueAreAnsweredAtAStop guards against connections that are open for their callers, but are reset when a server
+// stops, because it has not accepted them yet.
+func TestConnectionsInTheQueueAreAnsweredAtAStop(t *testing.T) {
+	s, listener := listen(t, answerOK)
+	var callers []*net.TCPConn
+	for range 20 {
+		caller := s.connect()
+		_, err := io.WriteString(caller, request)
+		require.NoError(t, err)
+		callers = append(callers, caller)
+	}
+	s.StopAccepting()
+	require.NoError(t, s.Serve(listener))
+	for _, caller := range callers {
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode)
+	}
+}
+
 // TestAnswerThatBeganBeforeAStopEndsItsConnection guards against connections that stay open because their last answer
 // does not say that it is the last.
 func TestAnswerThatBeganBeforeAStopEndsItsConnection(t *testing.T) {
--- a/internal/connection/listener.go
+++ b/internal/connection/listener.go
@@ -4,13 +4,24 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
+const (
+	// acceptTime is how long a server that stops waits for a further connection. Those in the listener's queue
+	// are open for their callers, and would be reset.
+	acceptTime = 10 * time.Millisecond
+	// maxAcceptTime bounds the time in which it accepts connections, since they may come without end.
+	maxAcceptTime = 100 * time.Millisecond
+)
+
 // listener accepts the connections of a server.
 type listener struct {
 	*net.TCPListener
 	server *Server
+	// stoppedAt is when stop was called; nil before that.
+	stoppedAt atomic.Pointer[time.Time]
 }
 
 // Accept waits for the next connection. It returns [net.ErrClosed] once the server has stopped and none is
@@ -18,7 +29,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	accepted, err := l.AcceptTCP()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, net.ErrClosed
+		accepted, err = l.acceptQueued()
 	}
 	if err != nil {
 		return nil, err
@@ -32,8 +43,25 @@
 	return c, nil
 }
 
-// stop lets Accept return an error after a moment.
+// acceptQueued accepts a connection after the deadline, which may have passed while some were in the queue.
+func (l *listener) acceptQueued() (*net.TCPConn, error) {
+	if time.Since(*l.stoppedAt.Load()) > maxAcceptTime {
+		return nil, net.ErrClosed
+	}
+	if err := l.SetDeadline(time.Now().Add(acceptTime)); err != nil {
+		return nil, err
+	}
+	accepted, err := l.AcceptTCP()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, net.ErrClosed
+	}
+	return accepted, err
+}
+
+// stop lets Accept return an error once no connection is left in the queue.
 func (l *listener) stop() {
+	now := time.Now()
+	l.stoppedAt.Store(&now)
 	// An error means that the listener is closed already.
-	_ = l.SetDeadline(time.Now().Add(acceptTime))
+	_ = l.SetDeadline(now)
 }
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -31,10 +31,6 @@
 	over chan struct{}
 }
 
-// acceptTime is how long a server that stops goes on to accept connections, so that none that callers consider open
-// is left in the queue of the listener.
-const acceptTime = 10 * time.Millisecond
-
 // firstRequestTime is how long a server that stops waits for the first request on a connection.
 const firstRequestTime = 250 * time.Millisecond
 
