--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -263,3 +263,23 @@
 type neverEnding struct{}
 
 func (neverEnding) Read(b []byte) (int, error) { return len(b), nil }
+
+// TestAnswerArrivesWhenAStopClosesItsIdleConnection guards against answers that break off because their connection
+// is closed as idle while they are on their way.
+func TestAnswerArrivesWhenAStopClosesItsIdleConnection(t *testing.T) {
+	answer := longAnswer[:64<<10]
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) })
+	caller := s.connect()
+	require.NoError(t, caller.SetReadBuffer(2<<10))
+	_, err := io.WriteString(caller, request)
+	require.NoError(t, err)
+	reader := bufio.NewReader(caller)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	s.stop(time.Second / 2)
+	_, err = io.WriteString(caller, request)
+	require.NoError(t, err)
+	n, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, len(answer), n)
+}
