Pass the size of the machine and the bound of moved requests to a host

Cause: a host did not know how much memory, processor, bandwidth and how many descriptors it has, nor how many requests may change their region at a time, so that nothing could be derived from them. Change: the settings hold them, checked when they are read; a missing figure is zero, which means unknown. Nothing reads them yet. Ruled out: reading the size from the operating system, which reports that of another machine.

--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -59,6 +59,25 @@
 	// of retries beyond that, over all hosts.
 	RetryRatio float64 `json:"retry-ratio"`
 	RetrySlack float64 `json:"retry-slack"`
+	// MaxShift is the largest fraction of a region's requests that may move to other regions
+	// from one two-second window to the next; zero if there is no bound.
+	MaxShift float64 `json:"max-shift"`
+	// Machine is what the machine of this host has.
+	Machine Machine `json:"machine"`
+}
+
+// Machine is what the machine of a host has for the host's process. A field that is zero is not known.
+type Machine struct {
+	// CPUShare is the fraction of a core that the process may use, and CoreSpeed the speed of that
+	// core relative to the usual one.
+	CPUShare  float64 `json:"cpu-share"`
+	CoreSpeed float64 `json:"core-speed"`
+	// MemoryMegabytes is the memory above which the process is killed.
+	MemoryMegabytes float64 `json:"memory-megabytes"`
+	// Descriptors is how many file descriptors the process may have open.
+	Descriptors int `json:"descriptors"`
+	// LinkMegabits is the bandwidth of the machine's link in each direction, in Mbit/s.
+	LinkMegabits float64 `json:"link-megabits"`
 }
 
 // drainTimeout returns how long the host may take to stop.
@@ -130,5 +149,11 @@
 	require("grace-seconds", s.DrainSeconds > 0, "a number above zero")
 	require("retry-ratio", s.RetryRatio >= 0, "a number, zero or more")
 	require("retry-slack", s.RetrySlack >= 0, "a number, zero or more")
+	require("max-shift", s.MaxShift >= 0 && s.MaxShift <= 1, "a number from 0 to 1")
+	require("machine.cpu-share", s.Machine.CPUShare >= 0, "a number, zero or more")
+	require("machine.core-speed", s.Machine.CoreSpeed >= 0, "a number, zero or more")
+	require("machine.memory-megabytes", s.Machine.MemoryMegabytes >= 0, "a number, zero or more")
+	require("machine.descriptors", s.Machine.Descriptors >= 0, "a number, zero or more")
+	require("machine.link-megabits", s.Machine.LinkMegabits >= 0, "a number, zero or more")
 	return problems
 }
