Read load reports that also state how long work takes

Callers saw: rejections by backend servers that were full while others had room, and requests that changed their region in large numbers. Cause: servers that share their machines add a fourth figure to their load reports, and reports of other than three figures counted as malformed, so that every decision ran without load. Change: the fourth figure is read; nothing decides by it yet.

--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -27,6 +27,10 @@
 	Running int
 	Queued  int
 	Slots   int
+	// WorkTimePercent is how long work takes on the server's machine at the time of the
+	// response, in percent of the usual time; zero if the server does not report it. It
+	// changes many times per second.
+	WorkTimePercent int
 }
 
 // Refused means that the server was reached and refused to run the request, for example
