Order queued requests of one priority fairly among teams

Callers saw: a team that sent several times its usual rate filled the queues of the backend servers, and requests of other teams waited behind its requests or were rejected. Cause: requests of one priority were served in order of arrival, and the estimate of the wait counted all of them. Change: a slot goes to the team that was charged the least slot time lately, by its weight, which is the team's rate; the estimate counts of other teams only what they are granted before. The lists of waiting requests keep sums, so that the estimate reads no single requests. A new request no longer takes room that appears without the end of a request before those that wait for it.

--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -228,12 +228,22 @@
 		Route:           s.route.Name,
 		AffinityKey:     s.affinityKey(),
 		AllowedRegions:  s.allowedRegions(),
+		Team:            s.teamName(),
+		TeamWeight:      s.teamWeight(),
 		Priority:        routing.EffectivePriority(s.route, s.team),
 		QueueDeadline:   s.queueDeadline(),
 		ExcludedServers: s.triedServers,
 	}
 }
 
+// teamWeight returns the weight of the team among queued requests: its rate, zero if it has none.
+func (s *requestState) teamWeight() float64 {
+	if s.team == nil {
+		return 0
+	}
+	return s.team.Rate
+}
+
 // affinityKey returns the request's affinity key; empty on routes without affinity.
 func (s *requestState) affinityKey() string {
 	if !s.route.Affinity {
--- a/placement/acquire.go
+++ b/placement/acquire.go
@@ -51,16 +51,23 @@
 			return nil, nil, err
 		}
 	}
+	if p.isAwaited(candidates, now) {
+		if reservation, err := p.grantInOrder(svc, request, candidates, now); reservation != nil || err != nil {
+			return nil, reservation, err
+		}
+		candidates = p.candidates(svc, request, now)
+	}
 	if s := p.reserveServer(candidates, now); s != nil {
+		svc.accounts.account(request).charge(p.meanSlotTime(request.Route), now)
 		return nil, newReservation(s, request.Route, now, 0), nil
 	}
-	if wait := p.estimateWait(request, candidates, now); now.Add(wait).After(request.QueueDeadline) {
+	if wait := p.estimateWait(svc, request, candidates, now); now.Add(wait).After(request.QueueDeadline) {
 		return nil, nil, &BusyError{
 			Service:    request.Service,
 			RetryAfter: wait,
 		}
 	}
-	return svc.enqueue(*request, candidates, now), nil, nil
+	return p.enqueue(svc, *request, candidates, now), nil, nil
 }
 
 // newReservation returns a reservation of a server whose in-flight count already
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -61,6 +61,49 @@
 	}
 }
 
+// BenchmarkAcquireReleaseOfQueuedKey measures a slot that goes to a queued request and a new request
+// that joins the queue, which is rejected at once, at several lengths of the queue.
+func BenchmarkAcquireReleaseOfQueuedKey(b *testing.B) {
+	for _, queued := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("queued=%d", queued), func(b *testing.B) {
+			pool := newPool(map[string]int{"accra": 465})
+			ctx, cancel := context.WithCancel(b.Context())
+			defer cancel()
+			hot := newRequest("hot", time.Hour)
+			released := make(chan *placement.Reservation, 2*(4+placement.DefaultServerQueueLimit))
+			for range cap(released) {
+				reservation, err := pool.Acquire(ctx, hot)
+				if err != nil {
+					b.Fatal(err)
+				}
+				released <- reservation
+			}
+			for range queued {
+				go func() {
+					for {
+						reservation, err := pool.Acquire(ctx, hot)
+						if err != nil {
+							return
+						}
+						released <- reservation
+					}
+				}()
+			}
+			for pool.QueuedRequests(service) < queued {
+				time.Sleep(time.Millisecond)
+			}
+			rejected := newRequest("hot", 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				if reservation, err := pool.Acquire(ctx, rejected); err == nil {
+					pool.Release(reservation, placement.Inconclusive{})
+				}
+				pool.Release(<-released, placement.Inconclusive{})
+			}
+		})
+	}
+}
+
 // fillQueue fills the servers of one key and queues the given number of requests for it.
 func fillQueue(ctx context.Context, b *testing.B, pool *placement.Pool, queued int) {
 	if queued == 0 {
--- a/placement/pause.go
+++ b/placement/pause.go
@@ -67,12 +67,8 @@
 	if first == nil {
 		return nil, false
 	}
-	slotTime := defaultSlotTime
-	if known, isKnown := p.slotTimes[request.Route]; isKnown {
-		slotTime = known.mean
-	}
 	ends := first.pausedUntil
-	perRequest := slotTime / time.Duration(max(first.Slots, 1))
+	perRequest := p.meanSlotTime(request.Route) / time.Duration(max(first.Slots, 1))
 	svc.promisedUntil = later(svc.promisedUntil.Add(perRequest), ends)
 	if spread := svc.promisedUntil.Sub(ends); spread > maxReturnSpread {
 		svc.promisedUntil = ends
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -59,9 +59,9 @@
 
 // serviceState holds a service's servers and the requests that are queued for them.
 type serviceState struct {
-	servers []*server
-	// queue is in the order in which requests are served.
-	queue []*queuedRequest
+	servers  []*server
+	queue    waitingList
+	accounts teamAccounts
 	// sequence is the sequence number of the last queued request.
 	sequence uint64
 	// dispatchedAt is when all queued requests were last tried.
@@ -220,7 +220,7 @@
 func (p *Pool) QueuedRequests(service string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.service(service).queue)
+	return p.service(service).queue.count
 }
 
 // SetLocalShares sets the fraction of each route's affinity keys that this region
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -9,7 +9,10 @@
 
 // queuedRequest is a request in a service's queue.
 type queuedRequest struct {
-	request    Request
+	request Request
+	account *teamAccount
+	// slotTime is the expected slot time of the request.
+	slotTime   time.Duration
 	sequence   uint64
 	enqueuedAt time.Time
 	// candidates are the servers that the request waits for, as of the last
@@ -21,23 +24,15 @@
 	unservable error
 }
 
-// compareQueued orders queued requests by priority and then by arrival.
+// compareQueued orders queued requests of the same priority and team by arrival.
 func compareQueued(a, b *queuedRequest) int {
-	return cmp.Or(cmp.Compare(a.request.Priority, b.request.Priority), cmp.Compare(a.sequence, b.sequence))
+	return cmp.Compare(a.sequence, b.sequence)
 }
 
-func insertQueued(queue []*queuedRequest, q *queuedRequest) []*queuedRequest {
-	at, _ := slices.BinarySearchFunc(queue, q, compareQueued)
-	return slices.Insert(queue, at, q)
-}
-
-// removeQueuedFrom removes a request from an ordered queue, if it is there.
-func removeQueuedFrom(queue []*queuedRequest, q *queuedRequest) []*queuedRequest {
-	at, found := slices.BinarySearchFunc(queue, q, compareQueued)
-	if !found {
-		return queue
-	}
-	return slices.Delete(queue, at, at+1)
+// work returns the fraction of the slot time, in seconds, that each of the candidates is expected
+// to spend on the request.
+func (q *queuedRequest) work() float64 {
+	return q.slotTime.Seconds() / float64(max(len(q.candidates), 1))
 }
 
 // setCandidates replaces the servers that the request waits for.
@@ -46,32 +41,34 @@
 		return
 	}
 	for _, s := range q.candidates {
-		s.waiting = removeQueuedFrom(s.waiting, q)
+		s.waiting.remove(q, q.work())
 	}
 	q.candidates = slices.Clone(candidates)
 	for _, s := range q.candidates {
-		s.waiting = insertQueued(s.waiting, q)
+		s.waiting.insert(q, q.work())
 	}
 }
 
 // enqueue adds a request to the queue.
-func (svc *serviceState) enqueue(request Request, candidates []*server, now time.Time) *queuedRequest {
+func (p *Pool) enqueue(svc *serviceState, request Request, candidates []*server, now time.Time) *queuedRequest {
 	svc.sequence++
 	q := &queuedRequest{
 		request:    request,
+		account:    svc.accounts.account(&request),
+		slotTime:   p.meanSlotTime(request.Route),
 		sequence:   svc.sequence,
 		enqueuedAt: now,
 		granted:    make(chan *Reservation, 1),
 	}
+	svc.queue.insert(q, q.slotTime.Seconds())
 	q.setCandidates(candidates)
-	svc.queue = insertQueued(svc.queue, q)
 	return q
 }
 
 // dequeue removes a request from the queue, if it is still there.
 func (svc *serviceState) dequeue(q *queuedRequest) {
+	svc.queue.remove(q, q.slotTime.Seconds())
 	q.setCandidates(nil)
-	svc.queue = removeQueuedFrom(svc.queue, q)
 }
 
 // wait waits until the queued request is granted a reservation, its queue deadline passes or
@@ -138,21 +135,29 @@
 		p.dispatch(svc, now)
 		return
 	}
-	for _, q := range slices.Clone(s.waiting) {
+	p.dispatchServer(svc, s, now)
+}
+
+// dispatchServer grants reservations to the requests that wait for the server, in the order in
+// which they are served, while it has room.
+func (p *Pool) dispatchServer(svc *serviceState, s *server, now time.Time) {
+	s.waiting.forEach(&svc.accounts, now, func(q *queuedRequest) bool {
 		if !p.hasRoom(s, now) {
-			return
+			return false
 		}
 		p.tryQueued(svc, q, now)
-	}
+		return true
+	})
 }
 
-// dispatch grants reservations to queued requests, in queue order, and removes
-// them from the queue. Requests whose candidate servers are all full stay queued.
+// dispatch grants reservations to queued requests, in the order in which they are served, and
+// removes them from the queue. Requests whose candidate servers are all full stay queued.
 func (p *Pool) dispatch(svc *serviceState, now time.Time) {
 	svc.dispatchedAt = now
-	for _, q := range slices.Clone(svc.queue) {
+	svc.queue.forEach(&svc.accounts, now, func(q *queuedRequest) bool {
 		p.tryQueued(svc, q, now)
-	}
+		return true
+	})
 }
 
 // tryQueued grants a reservation to a queued request if one of its candidates has room, and rejects
@@ -173,43 +178,69 @@
 		return
 	}
 	svc.dequeue(q)
+	q.account.charge(q.slotTime, now)
 	q.granted <- newReservation(s, q.request.Route, now, now.Sub(q.enqueuedAt))
 }
 
+// grantInOrder queues a request whose candidates have room while others wait for them, and grants
+// reservations in the order in which requests are served. It returns the request's
+// reservation, or nil if none was left for it; the request is then not queued any more.
+func (p *Pool) grantInOrder(svc *serviceState, request *Request, candidates []*server, now time.Time) (*Reservation, error) {
+	q := p.enqueue(svc, *request, candidates, now)
+	for _, s := range q.candidates {
+		p.dispatchServer(svc, s, now)
+	}
+	select {
+	case reservation := <-q.granted:
+		return q.result(reservation)
+	default:
+		svc.dequeue(q)
+		return nil, nil
+	}
+}
+
+// isAwaited reports whether one of the servers has room that queued requests wait for. The load
+// that other hosts report decreases with time, so that room also appears without the end of a
+// request.
+func (p *Pool) isAwaited(candidates []*server, now time.Time) bool {
+	return slices.ContainsFunc(candidates, func(s *server) bool { return s.waiting.count > 0 && p.hasRoom(s, now) })
+}
+
 // hasRoom reports whether a request can be sent to the server.
 func (p *Pool) hasRoom(s *server, now time.Time) bool {
 	return float64(s.Slots+p.serverQueueLimit())-s.load(now) >= 1
 }
 
 // estimateWait estimates how long a request would be queued until one of its
-// candidate servers has room. It adds up the requests to serve: this one, the requests
-// on each candidate in excess of its slots, and the queued requests of the same or a
-// more urgent priority. Each queued request counts as the fraction of its candidates
-// that are also candidates of this request.
-func (p *Pool) estimateWait(request *Request, candidates []*server, now time.Time) time.Duration {
-	slots, requestsToServe := 0.0, 1.0
+// candidate servers has room. It adds up the slot time of this request, of the requests
+// on each candidate in excess of its slots, and of the queued requests that are served before.
+// A queued request counts as the fraction of its candidates that are also candidates of this
+// request.
+func (p *Pool) estimateWait(svc *serviceState, request *Request, candidates []*server, now time.Time) time.Duration {
+	account := svc.accounts.account(request)
+	slotTime := p.meanSlotTime(request.Route).Seconds()
+	slots, work := 0.0, slotTime
 	for _, s := range candidates {
 		slots += float64(s.Slots)
-		requestsToServe += max(0, s.load(now)-float64(s.Slots))
-		for _, other := range s.waiting {
-			if other.request.Priority > request.Priority {
-				break
-			}
-			requestsToServe += 1 / float64(len(other.candidates))
-		}
+		work += max(0, s.load(now)-float64(s.Slots)) * slotTime
+		work += s.waiting.workAhead(&svc.accounts, account, request.Priority, now)
 	}
 	if slots == 0 {
 		// There is no candidate: all servers to choose from are cold, and this host has
 		// no token for any of them.
 		return time.Second
 	}
-	meanSlotTime := defaultSlotTime
-	if known, isKnown := p.slotTimes[request.Route]; isKnown {
-		meanSlotTime = known.mean
-	}
-	return time.Duration(requestsToServe / slots * float64(meanSlotTime))
+	return time.Duration(work / slots * float64(time.Second))
 }
 
 // defaultSlotTime is the assumed time that a request occupies a slot, for routes
 // without measurements.
 const defaultSlotTime = 200 * time.Millisecond
+
+// meanSlotTime returns the mean time that a request of the route occupies a slot.
+func (p *Pool) meanSlotTime(route string) time.Duration {
+	if known, isKnown := p.slotTimes[route]; isKnown {
+		return known.mean
+	}
+	return defaultSlotTime
+}
--- a/placement/request.go
+++ b/placement/request.go
@@ -20,6 +20,12 @@
 	// region of the server must be in each of these lists, except that an empty list
 	// allows all regions.
 	AllowedRegions [][]string
+	// Team is the team of the request. Queued requests of the same priority are ordered so that teams
+	// share the slots of a service by their weights. Requests without a team count as one team.
+	Team string
+	// TeamWeight is the team's share of the slots relative to those of other teams. If it is zero, the
+	// team has the mean weight of the others.
+	TeamWeight float64
 	// Priority orders queued requests; zero is the most urgent.
 	Priority int
 	// QueueDeadline is the time until which the request may be queued.
--- a/placement/server.go
+++ b/placement/server.go
@@ -45,9 +45,8 @@
 	said        *statements
 	isLeaving   bool
 	pausedUntil time.Time
-	// waiting are the queued requests that have the server as a candidate, in queue
-	// order.
-	waiting []*queuedRequest
+	// waiting are the queued requests that have the server as a candidate.
+	waiting waitingList
 }
 
 // otherHostsLoadHalfLife is the half-life of the reported load of other hosts, which
