Serve queued requests that can be in time before those that can't

Cause: a queued request was rejected after half of its latency target, also if its response could still be in time, and none was served late. Change: a queued request can be in time until the mean slot time of its route before its target. After that it waits behind all requests that can be in time, of any priority, and gets only a free slot, until its slot time before 1.5 times the target and before its deadline. It is rejected at once if it isn't expected to get a slot by then. New requests are admitted as before, by half of the target.

--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -232,6 +232,8 @@
 		TeamWeight:      s.teamWeight(),
 		Priority:        routing.EffectivePriority(s.route, s.team),
 		QueueDeadline:   s.queueDeadline(),
+		Target:          s.targetTime(1),
+		LateDeadline:    s.targetTime(maxLateFraction),
 		ExcludedServers: s.triedServers,
 	}
 }
@@ -271,18 +273,29 @@
 	return len(s.route.Regions) > 0 || s.team != nil && len(s.team.Regions) > 0
 }
 
-// maxQueueFraction is the longest time that a request waits for a slot on a backend
-// server, as a fraction of the route's latency target.
+// maxQueueFraction is the longest time that a request is expected to wait for a slot on a backend
+// server, as a fraction of the route's latency target. One that is expected to wait longer is
+// rejected at once.
 const maxQueueFraction = 0.5
 
-// queueDeadline returns the time until which the request waits for a slot on a backend
-// server.
+// maxLateFraction is the longest time after which a request that was queued is still worth a late
+// response, as a fraction of the route's latency target.
+const maxLateFraction = 1.5
+
+// queueDeadline returns the time until which the request is expected to wait for a slot on a backend
+// server at most.
 func (s *requestState) queueDeadline() time.Time {
-	until := s.start.Add(time.Duration(maxQueueFraction * float64(s.route.LatencyTarget)))
-	if until.After(s.deadline) {
+	return s.targetTime(maxQueueFraction)
+}
+
+// targetTime returns the time after the given fraction of the route's latency target, but not after the
+// request's deadline.
+func (s *requestState) targetTime(fraction float64) time.Time {
+	at := s.start.Add(time.Duration(fraction * float64(s.route.LatencyTarget)))
+	if at.After(s.deadline) {
 		return s.deadline
 	}
-	return until
+	return at
 }
 
 func (s *requestState) crashDetector() retry.CrashDetector {
--- a/placement/acquire.go
+++ b/placement/acquire.go
@@ -24,10 +24,10 @@
 }
 
 // Acquire reserves a backend server for the request. If all candidate servers are
-// full, the request is queued until one has room, its queue deadline passes, or ctx
+// full, the request is queued until one has room, its time in the queue ends, or ctx
 // is done. It returns a [NoServerError] if no server may serve the request, a
-// [BusyError] if none has room before the queue deadline or all are paused, and a
-// [CancelledError] if ctx was done first.
+// [BusyError] if none is expected to have room before the queue deadline, none had room in
+// time or all are paused, and a [CancelledError] if ctx was done first.
 func (p *Pool) Acquire(ctx context.Context, request Request) (*Reservation, error) {
 	queued, reservation, err := p.reserveOrEnqueue(&request)
 	if err != nil || reservation != nil {
@@ -61,7 +61,7 @@
 		svc.accounts.account(request).charge(p.meanSlotTime(request.Route), now)
 		return nil, newReservation(s, request.Route, now, 0), nil
 	}
-	if wait := p.estimateWait(svc, request, candidates, now); now.Add(wait).After(request.QueueDeadline) {
+	if wait := p.estimateWait(svc, request, request.rank(), candidates, now); now.Add(wait).After(request.QueueDeadline) {
 		return nil, nil, &BusyError{
 			Service:    request.Service,
 			RetryAfter: wait,
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -12,16 +12,21 @@
 	request Request
 	account *teamAccount
 	// slotTime is the expected slot time of the request.
-	slotTime   time.Duration
-	sequence   uint64
-	enqueuedAt time.Time
+	slotTime time.Duration
+	rank     queueRank
+	// inTimeUntil is the latest time of a grant with which the response can be in time, and
+	// queuedUntil the end of the time in the queue.
+	inTimeUntil time.Time
+	queuedUntil time.Time
+	sequence    uint64
+	enqueuedAt  time.Time
 	// candidates are the servers that the request waits for, as of the last
 	// dispatch. Each of them lists the request as waiting.
 	candidates []*server
-	// granted receives the reservation, at most once; nil if no server takes the request any
-	// more, for which unservable is the error.
-	granted    chan *Reservation
-	unservable error
+	// granted receives the reservation, at most once; nil if the request is rejected before its time in
+	// the queue ends, with the error rejection.
+	granted   chan *Reservation
+	rejection error
 }
 
 // compareQueued orders queued requests of the same priority and team by arrival.
@@ -56,10 +61,13 @@
 		request:    request,
 		account:    svc.accounts.account(&request),
 		slotTime:   p.meanSlotTime(request.Route),
+		rank:       request.rank(),
 		sequence:   svc.sequence,
 		enqueuedAt: now,
 		granted:    make(chan *Reservation, 1),
 	}
+	q.inTimeUntil = later(request.QueueDeadline, request.Target.Add(-q.slotTime))
+	q.queuedUntil = later(q.inTimeUntil, request.LateDeadline.Add(-q.slotTime))
 	svc.queue.insert(q, q.slotTime.Seconds())
 	q.setCandidates(candidates)
 	return q
@@ -71,10 +79,29 @@
 	q.setCandidates(nil)
 }
 
-// wait waits until the queued request is granted a reservation, its queue deadline passes or
+// markLate moves a request behind all that can still be in time, or rejects it if it isn't expected to
+// get a reservation before its time in the queue ends.
+func (p *Pool) markLate(svc *serviceState, q *queuedRequest, now time.Time) {
+	candidates := q.candidates
+	svc.dequeue(q)
+	q.rank.isLate = true
+	if wait := p.estimateWait(svc, &q.request, q.rank, candidates, now); now.Add(wait).After(q.queuedUntil) {
+		q.rejection = &BusyError{
+			Service:    q.request.Service,
+			QueueTime:  now.Sub(q.enqueuedAt),
+			RetryAfter: max(wait, now.Sub(q.enqueuedAt)),
+		}
+		q.granted <- nil
+		return
+	}
+	svc.queue.insert(q, q.slotTime.Seconds())
+	q.setCandidates(candidates)
+}
+
+// wait waits until the queued request is granted a reservation, its time in the queue ends or
 // ctx is done.
 func (p *Pool) wait(ctx context.Context, queued *queuedRequest) (*Reservation, error) {
-	timer := time.NewTimer(queued.request.QueueDeadline.Sub(p.now()))
+	timer := time.NewTimer(queued.queuedUntil.Sub(p.now()))
 	defer timer.Stop()
 	select {
 	case reservation := <-queued.granted:
@@ -89,14 +116,14 @@
 // result returns what the queued request was granted.
 func (q *queuedRequest) result(reservation *Reservation) (*Reservation, error) {
 	if reservation == nil {
-		return nil, q.unservable
+		return nil, q.rejection
 	}
 	return reservation, nil
 }
 
-// removeQueued removes a request from the queue. If cause is nil, its queue deadline
-// passed, else it was cancelled. The request may have been granted a reservation in the
-// meantime. That reservation is returned if the deadline passed, and released if the
+// removeQueued removes a request from the queue. If cause is nil, its time in the queue
+// ended, else it was cancelled. The request may have been granted a reservation in the
+// meantime. That reservation is returned if the time ended, and released if the
 // request was cancelled.
 func (p *Pool) removeQueued(q *queuedRequest, cause error) (*Reservation, error) {
 	p.mu.Lock()
@@ -142,7 +169,7 @@
 // which they are served, while it has room.
 func (p *Pool) dispatchServer(svc *serviceState, s *server, now time.Time) {
 	s.waiting.forEach(&svc.accounts, now, func(q *queuedRequest) bool {
-		if !p.hasRoom(s, now) {
+		if !p.hasRoom(s, now) || q.rank.isLate && !s.hasFreeSlot(now) {
 			return false
 		}
 		p.tryQueued(svc, q, now)
@@ -161,15 +188,24 @@
 }
 
 // tryQueued grants a reservation to a queued request if one of its candidates has room, and rejects
-// it if no server takes it any more.
+// it if no server takes it any more. A request that became late is moved behind the others instead,
+// and is granted only a free slot, so that no request that can be in time waits behind it at the server.
 func (p *Pool) tryQueued(svc *serviceState, q *queuedRequest, now time.Time) {
+	if !q.rank.isLate && now.After(q.inTimeUntil) {
+		p.markLate(svc, q, now)
+		return
+	}
 	candidates := p.candidates(svc, &q.request, now)
-	s := p.reserveServer(candidates, now)
+	usable := candidates
+	if q.rank.isLate {
+		usable = filter(candidates, func(s *server) bool { return s.hasFreeSlot(now) })
+	}
+	s := p.reserveServer(usable, now)
 	if s == nil && len(candidates) == 0 {
-		q.unservable = p.unservable(svc, &q.request, now)
+		q.rejection = p.unservable(svc, &q.request, now)
 	}
 	switch {
-	case q.unservable != nil:
+	case q.rejection != nil:
 		svc.dequeue(q)
 		q.granted <- nil
 		return
@@ -211,19 +247,24 @@
 	return float64(s.Slots+p.serverQueueLimit())-s.load(now) >= 1
 }
 
+// hasFreeSlot reports whether the server can run another request at once.
+func (s *server) hasFreeSlot(now time.Time) bool {
+	return float64(s.Slots)-s.load(now) >= 1
+}
+
 // estimateWait estimates how long a request would be queued until one of its
 // candidate servers has room. It adds up the slot time of this request, of the requests
 // on each candidate in excess of its slots, and of the queued requests that are served before.
 // A queued request counts as the fraction of its candidates that are also candidates of this
 // request.
-func (p *Pool) estimateWait(svc *serviceState, request *Request, candidates []*server, now time.Time) time.Duration {
+func (p *Pool) estimateWait(svc *serviceState, request *Request, rank queueRank, candidates []*server, now time.Time) time.Duration {
 	account := svc.accounts.account(request)
 	slotTime := p.meanSlotTime(request.Route).Seconds()
 	slots, work := 0.0, slotTime
 	for _, s := range candidates {
 		slots += float64(s.Slots)
 		work += max(0, s.load(now)-float64(s.Slots)) * slotTime
-		work += s.waiting.workAhead(&svc.accounts, account, request.Priority, now)
+		work += s.waiting.workAhead(&svc.accounts, account, rank, now)
 	}
 	if slots == 0 {
 		// There is no candidate: all servers to choose from are cold, and this host has
--- a/placement/request.go
+++ b/placement/request.go
@@ -28,8 +28,16 @@
 	TeamWeight float64
 	// Priority orders queued requests; zero is the most urgent.
 	Priority int
-	// QueueDeadline is the time until which the request may be queued.
+	// QueueDeadline is the time until which the request may be queued. A request that isn't expected
+	// to get a reservation by then is rejected at once.
 	QueueDeadline time.Time
+	// Target is the time by which a response is in time. A queued request can be in time until its
+	// slot time before Target, but at least until QueueDeadline, and may be queued until then.
+	Target time.Time
+	// LateDeadline is the time by which the caller wants a late response; zero if it wants none. A
+	// queued request that can't be in time any more stays queued, behind those that can, until its slot
+	// time before LateDeadline.
+	LateDeadline time.Time
 	// ExcludedServers are the names of the servers that the request was already sent
 	// to.
 	ExcludedServers []string
@@ -45,6 +53,13 @@
 	return !slices.Contains(r.ExcludedServers, s.Name)
 }
 
+// rank returns the rank at which the request is queued.
+func (r *Request) rank() queueRank {
+	return queueRank{
+		priority: r.Priority,
+	}
+}
+
 // hashKey returns the text that is hashed to find the servers of the affinity key.
 func (r *Request) hashKey() string {
 	return r.Route + "\x00" + r.AffinityKey
--- a/placement/waiting_list.go
+++ b/placement/waiting_list.go
@@ -7,23 +7,40 @@
 	"time"
 )
 
-// waitingList holds queued requests by priority and team. The zero value is empty.
+// waitingList holds queued requests by rank and team. The zero value is empty.
 type waitingList struct {
 	// levels are in the order in which they are served. They are kept while they are empty.
 	levels []*waitingLevel
 	count  int
 }
 
-// waitingLevel holds the queued requests of one priority.
-type waitingLevel struct {
+// queueRank orders queued requests before their teams do.
+type queueRank struct {
+	// isLate is true if the response can't be in time any more. Such requests are served last.
+	isLate   bool
 	priority int
+}
+
+func compareRanks(a, b queueRank) int {
+	if a.isLate != b.isLate {
+		if b.isLate {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(a.priority, b.priority)
+}
+
+// waitingLevel holds the queued requests of one rank.
+type waitingLevel struct {
+	rank queueRank
 	// teams are those with queued requests, in no particular order.
 	teams   []*teamQueue
 	byTeam  map[*teamAccount]*teamQueue
 	workSum workSum
 }
 
-// teamQueue holds the queued requests of one priority and team.
+// teamQueue holds the queued requests of one rank and team.
 type teamQueue struct {
 	account *teamAccount
 	// index is that of the queue in waitingLevel.teams.
@@ -55,14 +72,14 @@
 	}
 }
 
-func (l *waitingList) level(priority int) *waitingLevel {
-	at, isKnown := slices.BinarySearchFunc(l.levels, priority, func(level *waitingLevel, priority int) int {
-		return cmp.Compare(level.priority, priority)
+func (l *waitingList) level(rank queueRank) *waitingLevel {
+	at, isKnown := slices.BinarySearchFunc(l.levels, rank, func(level *waitingLevel, rank queueRank) int {
+		return compareRanks(level.rank, rank)
 	})
 	if !isKnown {
 		l.levels = slices.Insert(l.levels, at, &waitingLevel{
-			priority: priority,
-			byTeam:   make(map[*teamAccount]*teamQueue),
+			rank:   rank,
+			byTeam: make(map[*teamAccount]*teamQueue),
 		})
 	}
 	return l.levels[at]
@@ -71,7 +88,7 @@
 // insert adds a request, which counts as the given number of seconds of work.
 func (l *waitingList) insert(q *queuedRequest, work float64) {
 	l.count++
-	level := l.level(q.request.Priority)
+	level := l.level(q.rank)
 	level.workSum.add(work)
 	team, isWaiting := level.byTeam[q.account]
 	if !isWaiting {
@@ -89,7 +106,7 @@
 
 // remove removes a request, if it is there, which was added as the given number of seconds of work.
 func (l *waitingList) remove(q *queuedRequest, work float64) {
-	level := l.level(q.request.Priority)
+	level := l.level(q.rank)
 	team, isWaiting := level.byTeam[q.account]
 	if !isWaiting {
 		return
@@ -117,15 +134,16 @@
 }
 
 // workAhead returns the slot time, in seconds, of the queued requests that are served before a
-// new one of the account: all that are more urgent, all of the same team, and of each other team
-// what it is granted until its usage exceeds that of the new request's team.
-func (l *waitingList) workAhead(accounts *teamAccounts, account *teamAccount, priority int, now time.Time) float64 {
+// new one of the account and rank: all of a rank before, all of the same team, and of each other
+// team what it is granted until its usage exceeds that of the new request's team.
+func (l *waitingList) workAhead(accounts *teamAccounts, account *teamAccount, rank queueRank, now time.Time) float64 {
 	ahead := 0.0
 	for _, level := range l.levels {
-		if level.priority < priority {
+		order := compareRanks(level.rank, rank)
+		if order < 0 {
 			ahead += level.workSum.seconds
 		}
-		if level.priority == priority {
+		if order == 0 {
 			ahead += level.workAhead(accounts, account, now)
 		}
 	}
@@ -193,7 +211,7 @@
 
 // forEach calls try for the queued requests in the order in which they are served, until try
 // returns false. Apart from charging the request's team, try may remove the request, or remove
-// and insert it, but no other one.
+// and insert it, at a later rank also, but no other one.
 func (l *waitingList) forEach(accounts *teamAccounts, now time.Time, try func(*queuedRequest) bool) {
 	if l.count == 0 {
 		return
