Tell rejected requests when they will be admitted, and admit them then

Cause: requests that were rejected together were told the same time, so that they returned together, and after it they counted as new ones. Change: Retry-After also counts the requests of the team and route that were told to return and have not yet, at the rate at which the team was granted slots, and has jitter of up to half of it; it is never less than before. The host counts these times by team and route. A request that arrives within a second after one goes before new ones of its team and priority, and is queued if its response can be in time by the estimate.

A rule by which late requests wait only at servers that had a free slot in the last 500 ms leaves none that waits, and was dropped.

--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -92,7 +92,7 @@
 	var body *BodyError
 	switch {
 	case errors.As(cause, &rateLimit):
-		s.respondError(http.StatusTooManyRequests, rateLimit.RetryAfter, cause)
+		s.respondError(http.StatusTooManyRequests, min(rateLimit.RetryAfter, maxRetryAfter), cause)
 	case errors.As(cause, &noRoute):
 		s.respondError(http.StatusNotFound, 0, cause)
 	case errors.As(cause, &unknownKey):
@@ -110,25 +110,27 @@
 // no better estimate.
 const DefaultRetryAfter = 100 * time.Millisecond
 
-// maxRetryAfter is the largest value of Retry-After, also for a team above its rate. An
-// estimate that is made now does not hold for longer.
+// maxRetryAfter is the largest value of Retry-After for a team above its rate and for servers that are
+// paused. An estimate that is made now does not hold for longer. The pool bounds its own estimates.
 const maxRetryAfter = 5 * time.Second
 
 // retryAfter returns the value of Retry-After for a request that is rejected with status
-// 503. If no backend server had a free slot, it is the pool's estimate, but at least half of
-// [DefaultRetryAfter]; otherwise it is DefaultRetryAfter.
+// 503. If no backend server had room, it is the time that the pool promised; otherwise it is
+// [DefaultRetryAfter].
 func retryAfter(cause error) time.Duration {
 	var busy *placement.BusyError
-	if errors.As(cause, &busy) {
-		return max(busy.RetryAfter, DefaultRetryAfter/2)
+	switch {
+	case !errors.As(cause, &busy):
+		return DefaultRetryAfter
+	case busy.IsPaused:
+		return min(max(busy.RetryAfter, DefaultRetryAfter/2), maxRetryAfter)
 	}
-	return DefaultRetryAfter
+	return busy.RetryAfter
 }
 
 // respondError responds with a status that this host sets itself, and a Retry-After header
 // if the wait is positive.
 func (s *requestState) respondError(status int, wait time.Duration, cause error) {
-	wait = min(wait, maxRetryAfter)
 	s.recordError(s.writeError(status, wait, cause), wait, cause)
 }
 
--- a/placement/acquire.go
+++ b/placement/acquire.go
@@ -14,6 +14,10 @@
 	// QueueTime is how long the request was queued on this host before it got the
 	// reservation.
 	QueueTime time.Duration
+	// IsReturn is true if the request counted as one that returned when it was told to.
+	IsReturn bool
+	// IsLate is true if the response could not be in time any more when the reservation was made.
+	IsLate bool
 
 	server     *server
 	route      string
@@ -45,6 +49,10 @@
 	defer p.mu.Unlock()
 	now := p.now()
 	svc := p.service(request.Service)
+	request.isReturn = len(request.ExcludedServers) == 0 && svc.promises.take(promiseKey{
+		team:  request.Team,
+		route: request.Route,
+	}, now)
 	candidates := p.candidates(svc, request, now)
 	if len(candidates) == 0 {
 		if err := p.unservable(svc, request, now); err != nil {
@@ -59,25 +67,37 @@
 	}
 	if s := p.reserveServer(candidates, now); s != nil {
 		svc.accounts.account(request).charge(p.meanSlotTime(request.Route), now)
-		return nil, newReservation(s, request.Route, now, 0), nil
+		return nil, newReservation(s, request, now, 0), nil
 	}
-	if wait := p.estimateWait(svc, request, request.rank(), candidates, now); now.Add(wait).After(request.QueueDeadline) {
-		return nil, nil, &BusyError{
-			Service:    request.Service,
-			RetryAfter: wait,
-		}
+	if wait := p.estimateWait(svc, request, request.rank(), candidates, now); now.Add(wait).After(p.admitUntil(request)) {
+		return nil, nil, p.reject(svc, request, wait, 0, now)
 	}
 	return p.enqueue(svc, *request, candidates, now), nil, nil
 }
 
+// admitUntil returns the latest expected end of the wait with which the request is queued: its queue
+// deadline, or for a request that has returned the last time at which its response can be in time.
+func (p *Pool) admitUntil(request *Request) time.Time {
+	if request.isReturn {
+		return p.inTimeUntil(request)
+	}
+	return request.QueueDeadline
+}
+
+// inTimeUntil returns the latest time of a grant with which the response can be in time.
+func (p *Pool) inTimeUntil(request *Request) time.Time {
+	return later(request.QueueDeadline, request.Target.Add(-p.meanSlotTime(request.Route)))
+}
+
 // newReservation returns a reservation of a server whose in-flight count already
 // includes the request.
-func newReservation(s *server, route string, now time.Time, queueTime time.Duration) *Reservation {
+func newReservation(s *server, request *Request, now time.Time, queueTime time.Duration) *Reservation {
 	return &Reservation{
 		Server:     s.Machine,
 		QueueTime:  queueTime,
+		IsReturn:   request.isReturn,
 		server:     s,
-		route:      route,
+		route:      request.Route,
 		acquiredAt: now,
 		aboveSlots: s.load(now) > float64(s.Slots),
 	}
--- a/placement/errors.go
+++ b/placement/errors.go
@@ -22,9 +22,11 @@
 	// QueueTime is how long the request was queued on this host; zero if it was
 	// rejected at once.
 	QueueTime time.Duration
-	// RetryAfter is the estimated time until a server has room. If the request was queued,
-	// it is QueueTime.
+	// RetryAfter is the time after which the request is expected to be admitted, with jitter. If the
+	// request was queued, it is at least QueueTime.
 	RetryAfter time.Duration
+	// IsReturn is true if the request counted as one that returned when it was told to.
+	IsReturn bool
 	// IsPaused is true if all servers for the request asked for a pause, whose end is not sooner.
 	IsPaused bool
 }
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -32,6 +32,9 @@
 	ServerQueueLimit int
 	// Clock returns the current time; [time.Now] if nil.
 	Clock func() time.Time
+	// Random returns a random number from 0 to 1 for the jitter of the times at which rejected requests
+	// are told to return; that of [math/rand/v2] if nil.
+	Random func() float64
 
 	mu       sync.Mutex
 	servers  map[string]*server
@@ -62,6 +65,7 @@
 	servers  []*server
 	queue    waitingList
 	accounts teamAccounts
+	promises promises
 	// sequence is the sequence number of the last queued request.
 	sequence uint64
 	// dispatchedAt is when all queued requests were last tried.
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -29,8 +29,15 @@
 	rejection error
 }
 
-// compareQueued orders queued requests of the same priority and team by arrival.
+// compareQueued orders queued requests of the same rank and team: those that have returned first, then
+// by arrival.
 func compareQueued(a, b *queuedRequest) int {
+	if a.request.isReturn != b.request.isReturn {
+		if a.request.isReturn {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Compare(a.sequence, b.sequence)
 }
 
@@ -66,7 +73,7 @@
 		enqueuedAt: now,
 		granted:    make(chan *Reservation, 1),
 	}
-	q.inTimeUntil = later(request.QueueDeadline, request.Target.Add(-q.slotTime))
+	q.inTimeUntil = p.inTimeUntil(&request)
 	q.queuedUntil = later(q.inTimeUntil, request.LateDeadline.Add(-q.slotTime))
 	svc.queue.insert(q, q.slotTime.Seconds())
 	q.setCandidates(candidates)
@@ -86,11 +93,8 @@
 	svc.dequeue(q)
 	q.rank.isLate = true
 	if wait := p.estimateWait(svc, &q.request, q.rank, candidates, now); now.Add(wait).After(q.queuedUntil) {
-		q.rejection = &BusyError{
-			Service:    q.request.Service,
-			QueueTime:  now.Sub(q.enqueuedAt),
-			RetryAfter: max(wait, now.Sub(q.enqueuedAt)),
-		}
+		queueTime := now.Sub(q.enqueuedAt)
+		q.rejection = p.reject(svc, &q.request, max(wait, queueTime), queueTime, now)
 		q.granted <- nil
 		return
 	}
@@ -145,11 +149,8 @@
 		}
 	}
 	// The time in the queue serves as the estimate of the time until a server has room.
-	return nil, &BusyError{
-		Service:    q.request.Service,
-		QueueTime:  p.now().Sub(q.enqueuedAt),
-		RetryAfter: p.now().Sub(q.enqueuedAt),
-	}
+	queueTime := p.now().Sub(q.enqueuedAt)
+	return nil, p.reject(svc, &q.request, queueTime, queueTime, p.now())
 }
 
 // fullDispatchInterval is how often the end of a request may cause all queued requests to be
@@ -215,7 +216,9 @@
 	}
 	svc.dequeue(q)
 	q.account.charge(q.slotTime, now)
-	q.granted <- newReservation(s, q.request.Route, now, now.Sub(q.enqueuedAt))
+	reservation := newReservation(s, &q.request, now, now.Sub(q.enqueuedAt))
+	reservation.IsLate = q.rank.isLate
+	q.granted <- reservation
 }
 
 // grantInOrder queues a request whose candidates have room while others wait for them, and grants
@@ -264,7 +267,7 @@
 	for _, s := range candidates {
 		slots += float64(s.Slots)
 		work += max(0, s.load(now)-float64(s.Slots)) * slotTime
-		work += s.waiting.workAhead(&svc.accounts, account, rank, now)
+		work += s.waiting.workAhead(&svc.accounts, account, rank, request.isReturn, now)
 	}
 	if slots == 0 {
 		// There is no candidate: all servers to choose from are cold, and this host has
--- a/placement/request.go
+++ b/placement/request.go
@@ -41,6 +41,9 @@
 	// ExcludedServers are the names of the servers that the request was already sent
 	// to.
 	ExcludedServers []string
+
+	// isReturn is true if the request takes the place of one that was told to return by now.
+	isReturn bool
 }
 
 // allows reports whether the request may be sent to the server.
--- a/placement/team_account.go
+++ b/placement/team_account.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // usageHalfLife is the half-life of the slot time that a team is charged for. It must cover
 // several requests of a small team, and bounds the lead that a team gains while it is idle.
@@ -76,6 +79,11 @@
 	return a.usage * decay(now.Sub(a.chargedAt), usageHalfLife)
 }
 
+// slotsUsed returns how many slots the team was granted on average lately.
+func (a *teamAccount) slotsUsed(now time.Time) float64 {
+	return a.usageAt(now) * math.Ln2 / usageHalfLife.Seconds()
+}
+
 // charge adds the slot time of a granted request.
 func (a *teamAccount) charge(slotTime time.Duration, now time.Time) {
 	a.usage = a.usageAt(now) + slotTime.Seconds()
--- a/placement/waiting_list.go
+++ b/placement/waiting_list.go
@@ -48,6 +48,8 @@
 	// requests are in the order in which they are served.
 	requests []*queuedRequest
 	workSum  workSum
+	// returned is the part of workSum of requests that returned when they were told to.
+	returned workSum
 }
 
 // workSum is the sum of the slot times of queued requests, in seconds. A request that waits for
@@ -100,6 +102,9 @@
 		level.byTeam[q.account] = team
 	}
 	team.workSum.add(work)
+	if q.request.isReturn {
+		team.returned.add(work)
+	}
 	at, _ := slices.BinarySearchFunc(team.requests, q, compareQueued)
 	team.requests = slices.Insert(team.requests, at, q)
 }
@@ -118,6 +123,9 @@
 	l.count--
 	level.workSum.remove(work)
 	team.workSum.remove(work)
+	if q.request.isReturn {
+		team.returned.remove(work)
+	}
 	team.requests = slices.Delete(team.requests, at, at+1)
 	if len(team.requests) == 0 {
 		level.removeTeam(team)
@@ -134,9 +142,10 @@
 }
 
 // workAhead returns the slot time, in seconds, of the queued requests that are served before a
-// new one of the account and rank: all of a rank before, all of the same team, and of each other
-// team what it is granted until its usage exceeds that of the new request's team.
-func (l *waitingList) workAhead(accounts *teamAccounts, account *teamAccount, rank queueRank, now time.Time) float64 {
+// new one of the account and rank: all of a rank before, those of the same team (only the returned ones
+// if the new request has returned), and of each other team what it is granted until its usage exceeds
+// that of the new request's team.
+func (l *waitingList) workAhead(accounts *teamAccounts, account *teamAccount, rank queueRank, isReturn bool, now time.Time) float64 {
 	ahead := 0.0
 	for _, level := range l.levels {
 		order := compareRanks(level.rank, rank)
@@ -144,19 +153,22 @@
 			ahead += level.workSum.seconds
 		}
 		if order == 0 {
-			ahead += level.workAhead(accounts, account, now)
+			ahead += level.workAhead(accounts, account, isReturn, now)
 		}
 	}
 	return ahead
 }
 
-func (l *waitingLevel) workAhead(accounts *teamAccounts, account *teamAccount, now time.Time) float64 {
+func (l *waitingLevel) workAhead(accounts *teamAccounts, account *teamAccount, isReturn bool, now time.Time) float64 {
 	if len(l.teams) == 0 {
 		return 0
 	}
 	own := 0.0
 	if team, isWaiting := l.byTeam[account]; isWaiting {
 		own = team.workSum.seconds
+		if isReturn {
+			own = team.returned.seconds
+		}
 	}
 	ahead := own
 	usage := accounts.normalizedUsage(account, now) + own/accounts.weightOf(account)
