--- a/placement/pool.go
+++ b/placement/pool.go
@@ -32,6 +32,9 @@
 	ServerQueueLimit int
 	// Clock returns the current time; [time.Now] if nil.
 	Clock func() time.Time
+	// Random returns a random number from 0 to 1 for the jitter of the times at which rejected requests
+	// are told to return; that of [math/rand/v2] if nil.
+	Random func() float64
 
 	mu       sync.Mutex
 	servers  map[string]*server
@@ -59,9 +62,10 @@
 
 // serviceState holds a service's servers and the requests that are queued for them.
 type serviceState struct {
-	servers []*server
-	// queue is in the order in which requests are served.
-	queue []*queuedRequest
+	servers  []*server
+	queue    waitingList
+	accounts teamAccounts
+	promises promises
 	// sequence is the sequence number of the last queued request.
 	sequence uint64
 	// dispatchedAt is when all queued requests were last tried.
@@ -220,7 +224,7 @@
 func (p *Pool) QueuedRequests(service string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.service(service).queue)
+	return p.service(service).queue.count
 }
 
 // SetLocalShares sets the fraction of each route's affinity keys that this region
