Plan the remote share of each region from known demand and capacity

The rule by utilization (NextShare) reacts after servers are full. What a saturated server reports is bounded, since hosts hold back the rest, so the rule also can't tell a region with three times its capacity from one with a tenth more, and moves nothing while all are full.

RegionPlan follows from the warm slots by region and the demand by region, which is rates times slot times with their slope.

Remote requests still go to all other regions by slots; the weights of the plan are not applied yet.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -95,6 +95,8 @@
 	// remoteShares holds the fraction of this region's load that other regions serve, by
 	// service. It is nil until it is first computed.
 	remoteShares atomic.Pointer[placement.RemoteShares]
+	// regionPlans holds the plan of each service by which load is distributed across regions.
+	regionPlans map[string]placement.RegionPlan
 	// ownership is what the owners of the teams' rates were last selected from.
 	ownership ownershipInput
 	// senders are the hosts that may send to cold and limited servers, by region.
--- /dev/null
+++ b/internal/host/region_plans.go
@@ -0,0 +1,68 @@
+package host
+
+import (
+	"time"
+
+	"trefoilline.example/trefoilline/placement"
+)
+
+// plannedRemoteShares computes the next plan of each service, and returns the remote shares of the
+// plans.
+func (h *host) plannedRemoteShares(utilization map[string]placement.RegionUtilization, elapsed time.Duration) placement.RemoteShares {
+	region := h.settings().Region
+	before := h.currentRemoteShares()
+	reports := h.regionReports()
+	plans := make(map[string]placement.RegionPlan)
+	remoteShares := make(placement.RemoteShares)
+	for service, slots := range h.pool.UsableSlots() {
+		plan, isKnown := h.regionPlans[service]
+		if !isKnown {
+			plan.RemoteShare = h.startingRemoteShare(service, slots)
+		}
+		if share, isInForce := before[service]; isInForce {
+			plan.RemoteShare = share
+		}
+		plan = plan.Next(placement.PlanInput{
+			Service:     service,
+			Region:      region,
+			Reports:     reports[service],
+			Utilization: utilization[service],
+			Elapsed:     elapsed,
+		})
+		if utilization[service].IsIdle() {
+			// There is too little load to plan with. The share follows the slots, which still
+			// change while servers register.
+			plan.RemoteShare = placement.InitialRemoteShare(region, slots)
+		}
+		plans[service] = plan
+		remoteShares[service] = plan.RemoteShare
+	}
+	h.regionPlans = plans
+	return remoteShares
+}
+
+// regionReports returns what is known of each service in each region: the slots of the servers,
+// and the demand of the callers of the region.
+func (h *host) regionReports() map[string]placement.RegionReports {
+	reports := make(map[string]placement.RegionReports)
+	for service, regions := range h.pool.WarmSlots() {
+		reports[service] = make(placement.RegionReports)
+		for region, slots := range regions {
+			reports[service][region] = placement.RegionReport{
+				Slots: slots,
+			}
+		}
+	}
+	cachedSlotTimes := h.cachedSlotTimes()
+	for region, rates := range h.regionDemand() {
+		for service, demand := range placement.ServiceDemand(h.routeLoadsOf(rates, cachedSlotTimes)) {
+			if reports[service] == nil {
+				continue
+			}
+			report := reports[service][region]
+			report.Demand, report.IsDemandKnown = demand, true
+			reports[service][region] = report
+		}
+	}
+	return reports
+}
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -138,9 +138,24 @@
 	if h.handler.Configuration() == nil || !h.serversLoaded.Load() {
 		return
 	}
+	utilization := h.utilizationByRegion()
+	var remoteShares placement.RemoteShares
+	if h.settings().MaxShift > 0 {
+		remoteShares = h.plannedRemoteShares(utilization, elapsed)
+	} else {
+		h.regionPlans = nil
+		remoteShares = h.reactiveRemoteShares(utilization, elapsed)
+	}
+	h.remoteShares.Store(&remoteShares)
+	localShares := placement.LocalShares(h.routeLoads(), remoteShares, h.roster.RoundTripToNearestRegion(h.settings().Region))
+	h.pool.SetLocalShares(localShares)
+	h.logRegionShares(localShares, utilization)
+}
+
+// reactiveRemoteShares returns the next remote shares by measured utilization alone.
+func (h *host) reactiveRemoteShares(utilization map[string]placement.RegionUtilization, elapsed time.Duration) placement.RemoteShares {
 	before := h.currentRemoteShares()
 	remoteShares := make(placement.RemoteShares)
-	utilization := h.utilizationByRegion()
 	for service, slots := range h.pool.UsableSlots() {
 		_, isKnown := before[service]
 		switch {
@@ -154,10 +169,7 @@
 			remoteShares[service] = before.NextShare(service, h.settings().Region, utilization[service], elapsed)
 		}
 	}
-	h.remoteShares.Store(&remoteShares)
-	localShares := placement.LocalShares(h.routeLoads(), remoteShares, h.roster.RoundTripToNearestRegion(h.settings().Region))
-	h.pool.SetLocalShares(localShares)
-	h.logRegionShares(localShares, utilization)
+	return remoteShares
 }
 
 // currentRemoteShares returns the remote shares in force, or nil before they are first
@@ -232,8 +244,12 @@
 // routeLoads returns the load that the callers of this region put on each service of each
 // route.
 func (h *host) routeLoads() []placement.RouteLoad {
-	rates := h.regionDemand()
-	cachedSlotTimes := h.cachedSlotTimes()
+	return h.routeLoadsOf(h.regionDemand()[h.settings().Region], h.cachedSlotTimes())
+}
+
+// routeLoadsOf returns the load on each service of each route from the rates of the requests by
+// route.
+func (h *host) routeLoadsOf(rates map[string]float64, cachedSlotTimes map[string]time.Duration) []placement.RouteLoad {
 	var loads []placement.RouteLoad
 	for _, r := range h.handler.Configuration().Routes {
 		totalWeight := 0.0
@@ -253,20 +269,30 @@
 	return loads
 }
 
-// regionDemand returns the rate of the requests of this region's callers by route.
-func (h *host) regionDemand() map[string]float64 {
-	if summary, isSummarized := h.regionSummaries()[h.settings().Region]; isSummarized {
-		return maps.Clone(summary.RouteDemand)
+// regionDemand returns the rate of the requests of each region's callers by route. A region of
+// which nothing was heard is left out.
+func (h *host) regionDemand() map[string]map[string]float64 {
+	demand := make(map[string]map[string]float64)
+	summaries := h.regionSummaries()
+	for region, summary := range summaries {
+		demand[region] = maps.Clone(summary.RouteDemand)
 	}
-	rates := h.handler.RouteDemand()
-	for _, peer := range h.roster.LivePeers() {
-		if peer.Region == h.settings().Region {
-			for route, rate := range peer.RouteDemand {
-				rates[route] += rate
-			}
+	add := func(region string, rates map[string]float64) {
+		if _, isSummarized := summaries[region]; isSummarized {
+			return
+		}
+		if demand[region] == nil {
+			demand[region] = make(map[string]float64)
 		}
+		for route, rate := range rates {
+			demand[region][route] += rate
+		}
+	}
+	add(h.settings().Region, h.handler.RouteDemand())
+	for _, peer := range h.roster.LivePeers() {
+		add(peer.Region, peer.RouteDemand)
 	}
-	return rates
+	return demand
 }
 
 // cachedSlotTimes returns, by route, how long a request occupies a slot if the server has its
--- /dev/null
+++ b/placement/region_model_test.go
@@ -0,0 +1,388 @@
+package placement_test
+
+import (
+	"cmp"
+	"container/heap"
+	"container/list"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"trefoilline.example/trefoilline/placement"
+)
+
+const (
+	modelService  = "stock"
+	modelTick     = 10 * time.Millisecond
+	modelUpdate   = 250 * time.Millisecond
+	modelSlotTime = 80 * time.Millisecond
+	// coldFactor is how much longer a request takes whose key the server does not have cached.
+	coldFactor     = 3
+	modelRoundTrip = 110 * time.Millisecond
+	modelTarget    = 800 * time.Millisecond
+	modelWindow    = 2 * time.Second
+	modelRateTime  = 2 * time.Second
+	keysPerRegion  = 1500
+	// cachedKeys is how many keys a server remembers: a quarter more than there are per server.
+	cachedKeys     = 256
+	slotsPerServer = 9
+	// reportedAboveSlots is how many requests above its slots a server reports at most: hosts
+	// hold back the others in queues of their own.
+	reportedAboveSlots = 1
+)
+
+// regionModel is a queueing model of the regions of a service. Each server is a queue in front
+// of its slots, and remembers the keys that it used last.
+type regionModel struct {
+	// rates returns the requests per second of a region's callers.
+	rates func(region string, at time.Duration) float64
+	// decide returns the next plan of a region.
+	decide func(plan placement.RegionPlan, in placement.PlanInput) placement.RegionPlan
+	// alterReport changes what a region learns; it may be nil.
+	alterReport func(at time.Duration, in *placement.PlanInput)
+
+	random  *rand.Rand
+	regions map[string]*modelRegion
+	names   []string
+}
+
+type modelRegion struct {
+	servers []*modelServer
+	keys    []*modelKey
+	plan    placement.RegionPlan
+	rate    float64
+	// load is the moving average of the requests that the region's servers report.
+	load   float64
+	result modelResult
+	// served counts the served requests of the region's callers by window and by the region
+	// that served them.
+	served []map[string]float64
+}
+
+func (r *modelRegion) slots() float64 { return float64(len(r.servers) * slotsPerServer) }
+
+func (r *modelRegion) utilization() float64 { return r.load / r.slots() }
+
+type modelServer struct {
+	name string
+	// free holds when each slot becomes free, and ends when each request ends.
+	free, ends timeHeap
+	cached     map[*modelKey]*list.Element
+	recent     list.List
+}
+
+// modelKey is an affinity key of a region's callers.
+type modelKey struct {
+	homeFraction float64
+	// regionHash is hashed with the name of each region, and ranked are its servers there.
+	regionHash map[string]float64
+	ranked     map[string][]*modelServer
+}
+
+// modelResult is what became of the requests of a region's callers.
+type modelResult struct{ requests, inTarget, rejected, cold float64 }
+
+type timeHeap []time.Duration
+
+func (h timeHeap) Len() int           { return len(h) }
+func (h timeHeap) Less(i, j int) bool { return h[i] < h[j] }
+func (h timeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timeHeap) Push(x any)        { *h = append(*h, x.(time.Duration)) }
+func (h *timeHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// newRegionModel returns a model of regions with the given numbers of servers.
+func newRegionModel(servers map[string]int) *regionModel {
+	m := &regionModel{
+		random:  rand.New(rand.NewPCG(1, 2)),
+		regions: make(map[string]*modelRegion),
+		names:   slices.Sorted(maps.Keys(servers)),
+	}
+	slots := make(map[string]float64)
+	for name, n := range servers {
+		region := &modelRegion{}
+		for i := range n {
+			region.servers = append(region.servers, &modelServer{
+				name:   fmt.Sprintf("%s-%d", name, i),
+				free:   make(timeHeap, slotsPerServer),
+				cached: make(map[*modelKey]*list.Element),
+			})
+		}
+		m.regions[name] = region
+		slots[name] = region.slots()
+	}
+	for name, region := range m.regions {
+		region.plan.RemoteShare = placement.InitialRemoteShare(name, slots)
+		for i := range keysPerRegion {
+			region.keys = append(region.keys, m.newKey(fmt.Sprintf("%s/%d", name, i)))
+		}
+	}
+	return m
+}
+
+func (m *regionModel) newKey(name string) *modelKey {
+	key := &modelKey{
+		homeFraction: placement.HashFraction("home/" + name),
+		regionHash:   make(map[string]float64),
+		ranked:       make(map[string][]*modelServer),
+	}
+	for region, r := range m.regions {
+		key.regionHash[region] = placement.HashFraction(name + "/" + region)
+		key.ranked[region] = slices.SortedFunc(slices.Values(r.servers), func(a, b *modelServer) int {
+			return cmp.Compare(placement.HashFraction(name+a.name), placement.HashFraction(name+b.name))
+		})
+	}
+	return key
+}
+
+// run simulates the regions for the duration.
+func (m *regionModel) run(duration time.Duration) {
+	for at := time.Duration(0); at < duration; at += modelTick {
+		for _, name := range m.names {
+			m.arrive(name, at)
+		}
+		m.measure(at)
+		if at%modelUpdate == 0 {
+			m.update(at)
+		}
+	}
+}
+
+// arrive serves the requests of a region's callers that arrive in a tick.
+func (m *regionModel) arrive(name string, at time.Duration) {
+	region := m.regions[name]
+	mean := m.rates(name, at) * modelTick.Seconds()
+	count := 0
+	for p := m.random.ExpFloat64(); p < mean; p += m.random.ExpFloat64() {
+		count++
+	}
+	decay := math.Exp(-modelTick.Seconds() / modelRateTime.Seconds())
+	region.rate = region.rate*decay + float64(count)/modelRateTime.Seconds()
+	window := int(at / modelWindow)
+	for len(region.served) <= window {
+		region.served = append(region.served, make(map[string]float64))
+	}
+	for range count {
+		// A third of the keys get half of the requests.
+		key := region.keys[int(keysPerRegion*math.Pow(m.random.Float64(), 1.6))]
+		region.result.requests++
+		if runIn, isServed := m.serve(name, key, at); isServed {
+			region.served[window][runIn]++
+		}
+	}
+}
+
+// serve runs a request, and returns the region that did.
+func (m *regionModel) serve(from string, key *modelKey, at time.Duration) (string, bool) {
+	caller := m.regions[from]
+	runIn := m.choose(from, key)
+	server := m.regions[runIn].chooseServer(key, runIn, at)
+	wait := max(0, server.free[0]-at)
+	if wait > modelTarget/2 {
+		caller.result.rejected++
+		return "", false
+	}
+	slotTime := modelSlotTime
+	if !server.use(key) {
+		slotTime *= coldFactor
+		caller.result.cold++
+	}
+	end := at + wait + slotTime
+	server.free[0] = end
+	heap.Fix(&server.free, 0)
+	heap.Push(&server.ends, end)
+	latency := wait + slotTime
+	if runIn != from {
+		latency += modelRoundTrip
+	}
+	if latency <= modelTarget {
+		caller.result.inTarget++
+	}
+	return runIn, true
+}
+
+// choose returns the region that the key's requests run in.
+func (m *regionModel) choose(from string, key *modelKey) string {
+	plan := m.regions[from].plan
+	if key.homeFraction >= plan.RemoteShare {
+		return from
+	}
+	best, bestScore := "", -1.0
+	for _, name := range m.names {
+		if name == from {
+			continue
+		}
+		weight := m.regions[name].slots()
+		if len(plan.Destinations) > 0 {
+			weight = plan.Destinations[name]
+		}
+		if score := -weight / math.Log(key.regionHash[name]); score > bestScore {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+// chooseServer returns the key's first server with a free slot, of two, or of one if the
+// region is highly utilized.
+func (r *modelRegion) chooseServer(key *modelKey, region string, at time.Duration) *modelServer {
+	ranked := key.ranked[region]
+	if r.utilization() > 0.6 || len(ranked) == 1 || ranked[0].free[0] <= at || ranked[1].free[0] >= ranked[0].free[0] {
+		return ranked[0]
+	}
+	return ranked[1]
+}
+
+// use records the use of a key, and reports whether the server had it cached.
+func (s *modelServer) use(key *modelKey) bool {
+	if element, isCached := s.cached[key]; isCached {
+		s.recent.MoveToFront(element)
+		return true
+	}
+	s.cached[key] = s.recent.PushFront(key)
+	if s.recent.Len() > cachedKeys {
+		delete(s.cached, s.recent.Remove(s.recent.Back()).(*modelKey))
+	}
+	return false
+}
+
+// measure updates the moving average of the load that the servers report.
+func (m *regionModel) measure(at time.Duration) {
+	for _, region := range m.regions {
+		load := 0
+		for _, s := range region.servers {
+			for len(s.ends) > 0 && s.ends[0] <= at {
+				heap.Pop(&s.ends)
+			}
+			load += min(len(s.ends), slotsPerServer+reportedAboveSlots)
+		}
+		region.load += (float64(load) - region.load) * (1 - math.Exp(-modelTick.Seconds()))
+	}
+}
+
+// update computes the next plans of all regions.
+func (m *regionModel) update(at time.Duration) {
+	next := make(map[string]placement.RegionPlan)
+	for _, name := range m.names {
+		in := placement.PlanInput{
+			Service:     modelService,
+			Region:      name,
+			Reports:     make(placement.RegionReports),
+			Utilization: make(placement.RegionUtilization),
+			Elapsed:     modelUpdate,
+		}
+		for other, region := range m.regions {
+			in.Reports[other] = placement.RegionReport{
+				Slots:         region.slots(),
+				Demand:        region.rate * modelSlotTime.Seconds(),
+				IsDemandKnown: true,
+			}
+			in.Utilization[other] = region.utilization()
+		}
+		if m.alterReport != nil {
+			m.alterReport(at, &in)
+		}
+		next[name] = m.regions[name].plan
+		if !in.Utilization.IsIdle() {
+			next[name] = m.decide(m.regions[name].plan, in)
+		}
+	}
+	for name, plan := range next {
+		m.regions[name].plan = plan
+	}
+}
+
+// maxWindowChange returns the largest fraction of a region's served requests that run in
+// another region than in the window before.
+func (m *regionModel) maxWindowChange(name string) float64 {
+	largest := 0.0
+	served := m.regions[name].served
+	for i := 1; i < len(served); i++ {
+		before, now := fractions(served[i-1]), fractions(served[i])
+		change := 0.0
+		for _, region := range m.names {
+			change += math.Abs(now[region]-before[region]) / 2
+		}
+		largest = max(largest, change)
+	}
+	return largest
+}
+
+func fractions(counts map[string]float64) map[string]float64 {
+	total := 0.0
+	for _, n := range counts {
+		total += n
+	}
+	result := make(map[string]float64)
+	for region, n := range counts {
+		result[region] = n / max(total, 1)
+	}
+	return result
+}
+
+// decidePlanned decides by the plan.
+func decidePlanned(plan placement.RegionPlan, in placement.PlanInput) placement.RegionPlan {
+	return plan.Next(in)
+}
+
+// decideReactive decides by measured utilization alone.
+func decideReactive(plan placement.RegionPlan, in placement.PlanInput) placement.RegionPlan {
+	shares := placement.RemoteShares{
+		in.Service: plan.RemoteShare,
+	}
+	plan.RemoteShare = shares.NextShare(in.Service, in.Region, in.Utilization, in.Elapsed)
+	return plan
+}
+
+// inTarget returns the fraction of the requests of all regions that were answered within their
+// target.
+func (m *regionModel) inTarget() float64 {
+	sum := modelResult{}
+	for _, region := range m.regions {
+		sum.requests += region.result.requests
+		sum.inTarget += region.result.inTarget
+	}
+	return sum.inTarget / sum.requests
+}
+
+func (m *regionModel) inTargetOf(region string) float64 {
+	result := m.regions[region].result
+	return result.inTarget / result.requests
+}
+
+// constant returns constant rates with the given utilization of all slots, equal in all regions.
+func (m *regionModel) constant(utilization float64) func(string, time.Duration) float64 {
+	mean := m.meanRate(utilization)
+	return func(string, time.Duration) float64 { return mean }
+}
+
+// meanRate returns the requests per second of each region with which all requests occupy the given
+// fraction of all slots.
+func (m *regionModel) meanRate(utilization float64) float64 {
+	total := 0.0
+	for _, region := range m.regions {
+		total += region.slots()
+	}
+	return utilization * total / float64(len(m.regions)) / modelSlotTime.Seconds()
+}
+
+// wave returns rates that vary between 0.45 and 1.55 of their mean with a period of 36 s, with
+// the regions a third of a period apart, so that all requests occupy the given fraction of all
+// slots.
+func (m *regionModel) wave(utilization float64) func(string, time.Duration) float64 {
+	const (
+		amplitude = 0.55
+		period    = 36.0
+	)
+	mean := m.meanRate(utilization)
+	return func(region string, at time.Duration) float64 {
+		phase := float64(slices.Index(m.names, region)) / float64(len(m.names))
+		return mean * (1 + amplitude*math.Sin(2*math.Pi*(at.Seconds()/period+phase)))
+	}
+}
--- a/placement/region_shares.go
+++ b/placement/region_shares.go
@@ -46,6 +46,18 @@
 	return l.Rate * l.CachedSlotTime.Seconds()
 }
 
+// ServiceDemand returns the mean number of slots that requests occupy, by service. A service is
+// left out if the slot times of all its routes with requests are unknown.
+func ServiceDemand(loads []RouteLoad) map[string]float64 {
+	demand := make(map[string]float64)
+	for _, l := range loads {
+		if l.Rate == 0 || l.CachedSlotTime > 0 {
+			demand[l.Service] += l.occupiedSlots()
+		}
+	}
+	return demand
+}
+
 // RemoteShares is the fraction of a region's load that other regions serve, from 0
 // to 1, by service.
 type RemoteShares map[string]float64
@@ -197,13 +209,23 @@
 // UsableSlots returns the number of slots of the servers that accept requests, by
 // service and region.
 func (p *Pool) UsableSlots() map[string]map[string]float64 {
+	return p.sumSlots((*server).isUsable)
+}
+
+// WarmSlots returns the same without the servers that are cold.
+func (p *Pool) WarmSlots() map[string]map[string]float64 {
+	now := p.now()
+	return p.sumSlots(func(s *server) bool { return s.isUsable() && !s.isCold(now) })
+}
+
+func (p *Pool) sumSlots(include func(*server) bool) map[string]map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	slots := make(map[string]map[string]float64)
 	for name, svc := range p.services {
 		regions := make(map[string]float64)
 		for _, s := range svc.servers {
-			if s.isUsable() {
+			if include(s) {
 				regions[s.Region] += float64(s.Slots)
 			}
 		}
