Send what leaves a region to the regions that the plan weighs

Requests that leave their region went to all other regions by slots, also to one that exports load itself: with a tenth of the servers there, a tenth to a fifth of what other regions export. The weights of the plan now multiply the scores of servers in the ranking of each key, so that all hosts find the same servers and a change of weights moves only the keys that it must.

--- a/internal/host/region_plans.go
+++ b/internal/host/region_plans.go
@@ -41,6 +41,15 @@
 	return remoteShares
 }
 
+// destinations returns the weights of the regions that serve what leaves this region, by service.
+func (h *host) destinations() map[string]map[string]float64 {
+	weights := make(map[string]map[string]float64, len(h.regionPlans))
+	for service, plan := range h.regionPlans {
+		weights[service] = plan.Destinations
+	}
+	return weights
+}
+
 // regionReports returns what is known of each service in each region: the slots of the servers,
 // and the demand of the callers of the region.
 func (h *host) regionReports() map[string]placement.RegionReports {
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -149,6 +149,7 @@
 	h.remoteShares.Store(&remoteShares)
 	localShares := placement.LocalShares(h.routeLoads(), remoteShares, h.roster.RoundTripToNearestRegion(h.settings().Region))
 	h.pool.SetLocalShares(localShares)
+	h.pool.SetDestinations(h.destinations())
 	h.logRegionShares(localShares, utilization)
 }
 
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -27,14 +27,15 @@
 func (p *Pool) rankedCandidates(svc *serviceState, request *Request, now time.Time) ([]*server, bool) {
 	ranking := p.ranking(svc, request)
 	isLocal := p.isHomeLocal(request.Route, ranking.homeFraction)
-	ranked := ranking.remote
-	if isLocal {
-		ranked = ranking.local
+	ranked := ranking.local
+	if !isLocal {
+		ranked = svc.rankByDestination(ranking.remote)
 	}
 	limit := p.candidateLimit(svc, isLocal, now)
 	hasHealthy := false
 	p.chosen = p.chosen[:0]
-	for _, s := range ranked {
+	for _, r := range ranked {
+		s := r.server
 		if s.state(now) != accepting || !request.allows(s) {
 			continue
 		}
@@ -58,9 +59,14 @@
 		return nil
 	}
 	servers = p.filterByRegion(servers, request)
-	limit := p.candidateLimit(svc, servers[0].Region == p.Region, now)
+	isLocal := servers[0].Region == p.Region
+	limit := p.candidateLimit(svc, isLocal, now)
+	ranked := rankServers(request.hashKey(), servers)
+	if !isLocal {
+		ranked = svc.rankByDestination(ranked)
+	}
 	p.chosen = p.chosen[:0]
-	for _, r := range rankServers(request.hashKey(), servers) {
+	for _, r := range ranked {
 		if len(p.chosen) == limit {
 			break
 		}
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -70,6 +70,10 @@
 	// servers are added, replaced or removed.
 	rankings    map[rankingKey]*keyRanking
 	utilization meanUtilization
+	// destinations are the factors of the scores of servers in other regions, by region.
+	destinations map[string]float64
+	// weighted is the memory for the result of rankByDestination.
+	weighted []scoredServer
 	// promisedUntil is the latest time at which a request was told to come back whose servers
 	// were all paused.
 	promisedUntil time.Time
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -30,8 +30,8 @@
 	homeFraction float64
 	// local and remote are the highest ranked servers of this region and of all others,
 	// the highest first.
-	local  []*server
-	remote []*server
+	local  []scoredServer
+	remote []scoredServer
 }
 
 // ranking returns the ranking of the request's affinity key, which it computes if it is not
@@ -70,8 +70,8 @@
 	}
 	return &keyRanking{
 		homeFraction: HashFraction(homePrefix + key),
-		local:        serversOf(local[:localCount]),
-		remote:       serversOf(remote[:remoteCount]),
+		local:        slices.Clone(local[:localCount]),
+		remote:       slices.Clone(remote[:remoteCount]),
 	}
 }
 
@@ -91,14 +91,6 @@
 	return count
 }
 
-func serversOf(ranked []scoredServer) []*server {
-	servers := make([]*server, len(ranked))
-	for i, r := range ranked {
-		servers[i] = r.server
-	}
-	return servers
-}
-
 // scoredServer is a server with its score for an affinity key.
 type scoredServer struct {
 	server *server
