--- a/placement/region_model_test.go
+++ b/placement/region_model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"container/list"
 	"fmt"
 	"maps"
@@ -29,9 +28,6 @@
 	// cachedKeys is how many keys a server remembers: a quarter more than there are per server.
 	cachedKeys     = 256
 	slotsPerServer = 9
-	// reportedAboveSlots is how many requests above its slots a server reports at most: hosts
-	// hold back the others in queues of their own.
-	reportedAboveSlots = 1
 )
 
 // regionModel is a queueing model of the regions of a service. Each server is a queue in front
@@ -68,10 +64,10 @@
 
 type modelServer struct {
 	name string
-	// free holds when each slot becomes free, and ends when each request ends.
-	free, ends timeHeap
-	cached     map[*modelKey]*list.Element
-	recent     list.List
+	// free holds when each slot becomes free.
+	free   [slotsPerServer]time.Duration
+	cached map[*modelKey]*list.Element
+	recent list.List
 }
 
 // modelKey is an affinity key of a region's callers.
@@ -85,16 +81,30 @@
 // modelResult is what became of the requests of a region's callers.
 type modelResult struct{ requests, inTarget, rejected, cold float64 }
 
-type timeHeap []time.Duration
+// firstFree returns the slot that becomes free first.
+func (s *modelServer) firstFree() *time.Duration {
+	first := &s.free[0]
+	for i := range s.free {
+		if s.free[i] < *first {
+			first = &s.free[i]
+		}
+	}
+	return first
+}
 
-func (h timeHeap) Len() int           { return len(h) }
-func (h timeHeap) Less(i, j int) bool { return h[i] < h[j] }
-func (h timeHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *timeHeap) Push(x any)        { *h = append(*h, x.(time.Duration)) }
-func (h *timeHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
+// reportedLoad returns the requests that the server reports: those that run, and one more if none of
+// the slots is free, since hosts hold back the others in queues of their own.
+func (s *modelServer) reportedLoad(at time.Duration) float64 {
+	running := 0
+	for _, free := range s.free {
+		if free > at {
+			running++
+		}
+	}
+	if running == slotsPerServer {
+		running++
+	}
+	return float64(running)
 }
 
 // newRegionModel returns a model of regions with the given numbers of servers.
@@ -110,7 +120,6 @@
 		for i := range n {
 			region.servers = append(region.servers, &modelServer{
 				name:   fmt.Sprintf("%s-%d", name, i),
-				free:   make(timeHeap, slotsPerServer),
 				cached: make(map[*modelKey]*list.Element),
 			})
 		}
@@ -183,7 +192,8 @@
 	caller := m.regions[from]
 	runIn := m.choose(from, key)
 	server := m.regions[runIn].chooseServer(key, runIn, at)
-	wait := max(0, server.free[0]-at)
+	slot := server.firstFree()
+	wait := max(0, *slot-at)
 	if wait > modelTarget/2 {
 		caller.result.rejected++
 		return "", false
@@ -193,10 +203,7 @@
 		slotTime *= coldFactor
 		caller.result.cold++
 	}
-	end := at + wait + slotTime
-	server.free[0] = end
-	heap.Fix(&server.free, 0)
-	heap.Push(&server.ends, end)
+	*slot = at + wait + slotTime
 	latency := wait + slotTime
 	if runIn != from {
 		latency += modelRoundTrip
@@ -233,7 +240,11 @@
 // region is highly utilized.
 func (r *modelRegion) chooseServer(key *modelKey, region string, at time.Duration) *modelServer {
 	ranked := key.ranked[region]
-	if r.utilization() > 0.6 || len(ranked) == 1 || ranked[0].free[0] <= at || ranked[1].free[0] >= ranked[0].free[0] {
+	if r.utilization() > 0.6 || len(ranked) == 1 {
+		return ranked[0]
+	}
+	first, second := *ranked[0].firstFree(), *ranked[1].firstFree()
+	if first <= at || first <= second {
 		return ranked[0]
 	}
 	return ranked[1]
@@ -255,14 +266,11 @@
 // measure updates the moving average of the load that the servers report.
 func (m *regionModel) measure(at time.Duration) {
 	for _, region := range m.regions {
-		load := 0
+		load := 0.0
 		for _, s := range region.servers {
-			for len(s.ends) > 0 && s.ends[0] <= at {
-				heap.Pop(&s.ends)
-			}
-			load += min(len(s.ends), slotsPerServer+reportedAboveSlots)
+			load += s.reportedLoad(at)
 		}
-		region.load += (float64(load) - region.load) * (1 - math.Exp(-modelTick.Seconds()))
+		region.load += (load - region.load) * (1 - math.Exp(-modelTick.Seconds()))
 	}
 }
 
