Bound how many requests a change of the plan moves

The step of the plan was a fraction of the load. The remote share and the weights of destinations share that limit, and utilization that saturated servers hide is taken from demand.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -97,6 +97,8 @@
 	remoteShares atomic.Pointer[placement.RemoteShares]
 	// regionPlans holds the plan of each service by which load is distributed across regions.
 	regionPlans map[string]placement.RegionPlan
+	// localShares is the fraction of each route's affinity keys that this region serves, as last set.
+	localShares map[string]float64
 	// ownership is what the owners of the teams' rates were last selected from.
 	ownership ownershipInput
 	// senders are the hosts that may send to cold and limited servers, by region.
--- a/internal/host/region_plans.go
+++ b/internal/host/region_plans.go
@@ -28,6 +28,7 @@
 			Reports:     reports[service],
 			Utilization: utilization[service],
 			Elapsed:     elapsed,
+			MaxShift:    h.settings().MaxShift,
 		})
 		if utilization[service].IsIdle() {
 			// There is too little load to plan with. The share follows the slots, which still
@@ -41,6 +42,21 @@
 	return remoteShares
 }
 
+// limitLocalShares returns the local shares with which no more of this region's requests change
+// their region in the elapsed time than the settings allow the plan.
+func (h *host) limitLocalShares(wanted map[string]float64, loads []placement.RouteLoad, elapsed time.Duration) map[string]float64 {
+	maxShift := h.settings().MaxShift
+	if maxShift == 0 {
+		return wanted
+	}
+	seconds := min(elapsed, maxElapsed).Seconds()
+	return placement.LimitLocalShares(h.localShares, wanted, loads, placement.ShareChangePerSecond(maxShift)*seconds)
+}
+
+// maxElapsed bounds the time that counts for one change of the shares. After a longer pause of the process, load
+// moves as slowly as at other times.
+const maxElapsed = 2 * peerUpdateInterval
+
 // destinations returns the weights of the regions that serve what leaves this region, by service.
 func (h *host) destinations() map[string]map[string]float64 {
 	weights := make(map[string]map[string]float64, len(h.regionPlans))
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -147,7 +147,10 @@
 		remoteShares = h.reactiveRemoteShares(utilization, elapsed)
 	}
 	h.remoteShares.Store(&remoteShares)
-	localShares := placement.LocalShares(h.routeLoads(), remoteShares, h.roster.RoundTripToNearestRegion(h.settings().Region))
+	loads := h.routeLoads()
+	localShares := placement.LocalShares(loads, remoteShares, h.roster.RoundTripToNearestRegion(h.settings().Region))
+	localShares = h.limitLocalShares(localShares, loads, elapsed)
+	h.localShares = localShares
 	h.pool.SetLocalShares(localShares)
 	h.pool.SetDestinations(h.destinations())
 	h.logRegionShares(localShares, utilization)
--- a/placement/region_model_test.go
+++ b/placement/region_model_test.go
@@ -284,6 +284,7 @@
 			Reports:     make(placement.RegionReports),
 			Utilization: make(placement.RegionUtilization),
 			Elapsed:     modelUpdate,
+			MaxShift:    0.15,
 		}
 		for other, region := range m.regions {
 			in.Reports[other] = placement.RegionReport{
--- a/placement/region_plan.go
+++ b/placement/region_plan.go
@@ -79,6 +79,9 @@
 	Utilization RegionUtilization
 	// Elapsed is the time since the plan before.
 	Elapsed time.Duration
+	// MaxShift is the largest fraction of the region's requests that may change their region from
+	// one 2 s window to the next; zero if only MaxShareChangePerSecond limits the change.
+	MaxShift float64
 }
 
 // Next returns the plan that follows the given one.
@@ -98,8 +101,11 @@
 	next.IsPlanned = true
 	next.Target = target.share
 	next.Correction = p.nextCorrection(reactive, in)
-	next.RemoteShare = p.stepShare(clamp(target.share+next.Correction, 0, 1), in)
-	next.Destinations = stepWeights(p.Destinations, target.destinations, destinationChangePerSecond*in.Elapsed.Seconds())
+	limit := ShareChangePerSecond(in.MaxShift) * in.Elapsed.Seconds()
+	next.RemoteShare = p.stepShare(clamp(target.share+next.Correction, 0, 1), limit, loads[in.Region], in)
+	// What the share leaves of the limit is for the destinations.
+	rest := max(0, limit-math.Abs(next.RemoteShare-p.RemoteShare)) / max(next.RemoteShare, minWeight)
+	next.Destinations = stepWeights(p.Destinations, target.destinations, min(rest, destinationChangePerSecond*in.Elapsed.Seconds()))
 	return next
 }
 
@@ -186,15 +192,15 @@
 	return 1 - capacity/demand
 }
 
-// stepShare moves the remote share toward the wanted one: up at the highest rate, down
-// slowly.
-func (p RegionPlan) stepShare(wanted float64, in PlanInput) float64 {
-	seconds := in.Elapsed.Seconds()
-	step := MaxShareChangePerSecond * seconds / servedShareDerivative(p.RemoteShare, in.Utilization[in.Region])
+// stepShare moves the remote share toward the wanted one by no more than the limit, which is a
+// fraction of the requests that are served: up at once, down slowly.
+func (p RegionPlan) stepShare(wanted, limit float64, own regionLoad, in PlanInput) float64 {
+	utilization := max(in.Utilization[in.Region], own.demand*(1-p.RemoteShare)/max(own.slots, 1))
+	step := limit / max(1, servedShareDerivative(p.RemoteShare, utilization))
 	if wanted > p.RemoteShare {
 		return max(p.RemoteShare, min(wanted-shareTolerance, p.RemoteShare+step))
 	}
-	return max(wanted, p.RemoteShare-min(step, shareReturnPerSecond*seconds))
+	return max(wanted, p.RemoteShare-min(step, shareReturnPerSecond*in.Elapsed.Seconds()))
 }
 
 // nextCorrection moves the correction in the direction in which measured utilization alone
--- a/placement/region_plan_test.go
+++ b/placement/region_plan_test.go
@@ -272,3 +272,40 @@
 		require.Zero(t, plan.RemoteShare, fmt.Sprint(time.Duration(i)*modelUpdate))
 	}
 }
+
+// TestLimitLocalSharesWeighsRoutesByRequests guards against a change of the load that moves far more
+// requests: a route with short slot times has most of the requests and little of the load.
+func TestLimitLocalSharesWeighsRoutesByRequests(t *testing.T) {
+	loads := []placement.RouteLoad{
+		{
+			Route:          "lookups",
+			Service:        modelService,
+			LatencyTarget:  modelTarget,
+			CachedSlotTime: 10 * time.Millisecond,
+			Rate:           900,
+		},
+		{
+			Route:          "uploads",
+			Service:        modelService,
+			LatencyTarget:  modelTarget,
+			CachedSlotTime: 100 * time.Millisecond,
+			Rate:           100,
+		},
+	}
+	const limit = 0.02
+	inForce := map[string]float64{
+		"lookups": 1,
+		"uploads": 1,
+	}
+	wanted := placement.LocalShares(loads, placement.RemoteShares{
+		modelService: 0.2,
+	}, 0)
+	limited := placement.LimitLocalShares(inForce, wanted, loads, limit)
+	moved := 0.0
+	for _, l := range loads {
+		moved += l.Rate / 1000 * (inForce[l.Route] - limited[l.Route])
+	}
+	require.InDelta(t, limit, moved, 1e-9)
+	require.Equal(t, wanted, placement.LimitLocalShares(nil, wanted, loads, limit), "no share is in force")
+	require.Equal(t, wanted, placement.LimitLocalShares(inForce, wanted, nil, limit), "there are no requests")
+}
--- a/placement/region_shares.go
+++ b/placement/region_shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -158,6 +159,32 @@
 	return localShares
 }
 
+// LimitLocalShares returns the local shares between those in force and the wanted ones with which no
+// more than the given fraction of the region's requests changes its region. It weighs the routes by
+// their rates: routes with short slot times have more requests for the same load. Routes
+// without a share in force take the wanted one.
+func LimitLocalShares(inForce, wanted map[string]float64, loads []RouteLoad, limit float64) map[string]float64 {
+	moved, total := 0.0, 0.0
+	for _, l := range loads {
+		total += l.Rate
+		if before, isInForce := inForce[l.Route]; isInForce {
+			moved += l.Rate * math.Abs(wanted[l.Route]-before)
+		}
+	}
+	fraction := 1.0
+	if moved > limit*total {
+		fraction = limit * total / moved
+	}
+	limited := make(map[string]float64, len(wanted))
+	for route, share := range wanted {
+		if before, isInForce := inForce[route]; isInForce {
+			share = before + fraction*(share-before)
+		}
+		limited[route] = share
+	}
+	return limited
+}
+
 // sortBySlack sorts routes by the fraction of their latency target that is left after
 // the round trip and the slot time, the largest fraction first.
 func sortBySlack(loads []RouteLoad, roundTrip time.Duration) []RouteLoad {
