Bound the requests that run in another region than planned

If all local servers of a key were ejected, paused or tried already, its requests went to other regions at once, and the second server of a key that left its region was often in a third one. Failures move requests at once as before: no usable server in the region, or none that can be reached. Overloaded servers that are ejected for what they respond count as reachable for 2 s after their last response, so that links on which packets are lost still move requests. If all servers everywhere are ejected, ejected ones are used as before.

Tests: script/lint; go test -race ./placement ./internal/host.

--- a/internal/host/reload.go
+++ b/internal/host/reload.go
@@ -94,6 +94,7 @@
 	h.currentSettings.Store(&settings)
 	h.limiter.SetOvershoot(settings.OvershootFraction, settings.OvershootRequests)
 	h.handler.RetryBudget.SetLimits(settings.RetryRatio, settings.RetrySlack)
+	h.pool.SetMaxShift(settings.MaxShift)
 }
 
 // setLogLevel sets the lowest level that is logged.
--- a/placement/acquire.go
+++ b/placement/acquire.go
@@ -54,7 +54,11 @@
 	if s := p.reserveServer(candidates, now); s != nil {
 		return nil, newReservation(s, request.Route, now, 0), nil
 	}
-	if wait := p.estimateWait(request, candidates, now); now.Add(wait).After(request.QueueDeadline) {
+	wait := p.estimateWait(request, candidates, now)
+	if len(candidates) == 0 {
+		wait = p.timeUntilAccepting(svc, request, wait, now)
+	}
+	if now.Add(wait).After(request.QueueDeadline) {
 		return nil, nil, &BusyError{
 			Service:    request.Service,
 			RetryAfter: wait,
--- a/placement/bench_test.go
+++ b/placement/bench_test.go
@@ -16,17 +16,39 @@
 	for _, servers := range []int{24, 465, 4998} {
 		for _, queued := range []int{0, 100, 1000} {
 			b.Run(fmt.Sprintf("servers=%d/queued=%d", servers, queued), func(b *testing.B) {
-				benchmarkAcquireRelease(b, servers, queued)
+				benchmarkAcquireRelease(b, servers, queued, 0)
 			})
 		}
 	}
 }
 
+// BenchmarkAcquireReleaseWithMaxShift measures the same while the requests that change their region are
+// bounded and half of the keys leave the region.
+func BenchmarkAcquireReleaseWithMaxShift(b *testing.B) {
+	for _, queued := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("servers=465/queued=%d", queued), func(b *testing.B) {
+			benchmarkAcquireRelease(b, 465, queued, testMaxShift)
+		})
+	}
+}
+
 // benchmarkKeys is the number of affinity keys that requests are about in the benchmark.
 const benchmarkKeys = 600
 
-func benchmarkAcquireRelease(b *testing.B, servers, queued int) {
+func benchmarkAcquireRelease(b *testing.B, servers, queued int, maxShift float64) {
 	pool := newPool(map[string]int{"accra": servers / 3, "kumasi": servers / 3, "tamale": servers / 3})
+	if maxShift > 0 {
+		pool.SetMaxShift(maxShift)
+		pool.SetLocalShares(map[string]float64{
+			"stock": 0.5,
+		})
+		pool.SetDestinations(map[string]map[string]float64{
+			service: {
+				"kumasi": 0.7,
+				"tamale": 0.3,
+			},
+		})
+	}
 	ctx, cancel := context.WithCancel(b.Context())
 	defer cancel()
 	fillQueue(ctx, b, pool, queued)
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -13,6 +13,16 @@
 //
 // The result is valid until the next call.
 func (p *Pool) candidates(svc *serviceState, request *Request, now time.Time) []*server {
+	p.spilling = nil
+	if p.maxShift > 0 {
+		return p.boundedCandidates(svc, request, now)
+	}
+	return p.unboundedCandidates(svc, request, now)
+}
+
+// unboundedCandidates returns the candidates without a bound on the requests that change their
+// region.
+func (p *Pool) unboundedCandidates(svc *serviceState, request *Request, now time.Time) []*server {
 	if request.AffinityKey == "" {
 		return p.keylessCandidates(svc, request, now)
 	}
@@ -29,7 +39,7 @@
 	isLocal := p.isHomeLocal(request.Route, ranking.homeFraction)
 	ranked := ranking.local
 	if !isLocal {
-		ranked = svc.rankByDestination(ranking.remote)
+		ranked = svc.remoteRanking(ranking)
 	}
 	limit := p.candidateLimit(svc, isLocal, now)
 	hasHealthy := false
@@ -63,7 +73,7 @@
 	limit := p.candidateLimit(svc, isLocal, now)
 	ranked := rankServers(request.hashKey(), servers)
 	if !isLocal {
-		ranked = svc.rankByDestination(ranked)
+		svc.rankByDestination(ranked)
 	}
 	p.chosen = p.chosen[:0]
 	for _, r := range ranked {
@@ -103,7 +113,13 @@
 		return nil
 	}
 	p.chosen = p.chosen[:0]
-	for _, s := range p.filterByRegion(servers, request) {
+	p.chooseLeastLoaded(p.filterByRegion(servers, request), now)
+	return p.chosen
+}
+
+// chooseLeastLoaded chooses the least loaded server for which this host has tokens.
+func (p *Pool) chooseLeastLoaded(servers []*server, now time.Time) {
+	for _, s := range servers {
 		if !p.hasTokens(s, now) {
 			continue
 		}
@@ -114,7 +130,6 @@
 			p.chosen[0] = s
 		}
 	}
-	return p.chosen
 }
 
 // eligible returns the service's servers that the request may be sent to, whether ejected or not.
@@ -197,6 +212,7 @@
 	if !p.takeTokens(best, now) {
 		return nil
 	}
+	p.recordSpillover(best, now)
 	best.inFlight++
 	p.contact.recordSent(best, now)
 	return best
--- a/placement/destinations.go
+++ b/placement/destinations.go
@@ -1,11 +1,19 @@
 package placement
 
-import "slices"
+import (
+	"maps"
+	"math"
+	"slices"
+)
 
 // minDestinationFactor keeps the servers of a region in the ranking that gets no requests of other
 // regions by plan, so that they are used if no other server accepts the request.
 const minDestinationFactor = 1e-6
 
+// destinationStep is to what the factors are rounded, so that small changes of the weights don't sort
+// the rankings of all keys again.
+const destinationStep = 1.0 / 64
+
 // SetDestinations sets the weights of the regions that serve what leaves this region, by service.
 // Regions of a service that has none get requests in proportion to their slots.
 //
@@ -16,7 +24,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, svc := range p.services {
-		svc.destinations = destinationFactors(weights[name], svc.servers, p.Region)
+		factors := destinationFactors(weights[name], svc.servers, p.Region)
+		if !maps.Equal(factors, svc.destinations) {
+			svc.destinations = factors
+			svc.destinationsGeneration++
+		}
 	}
 }
 
@@ -41,7 +53,8 @@
 	}
 	factors := make(map[string]float64, len(slots))
 	for region, n := range slots {
-		factors[region] = max(minDestinationFactor, weights[region]/n/highest)
+		factor := math.Round(weights[region]/n/highest/destinationStep) * destinationStep
+		factors[region] = max(minDestinationFactor, factor)
 	}
 	return factors
 }
@@ -54,16 +67,22 @@
 	return 1
 }
 
-// rankByDestination returns the given servers of other regions, which are ranked, in the order of
-// their scores with the weights of the regions. The result is valid until the next call.
-func (svc *serviceState) rankByDestination(ranked []scoredServer) []scoredServer {
-	if len(svc.destinations) == 0 {
-		return ranked
+// rankByDestination sorts ranked servers of other regions by their scores with the weights of the
+// regions.
+func (svc *serviceState) rankByDestination(ranked []scoredServer) {
+	weighted := func(r scoredServer) scoredServer {
+		r.score *= svc.destinationFactor(r.server)
+		return r
 	}
-	svc.weighted = append(svc.weighted[:0], ranked...)
-	for i := range svc.weighted {
-		svc.weighted[i].score *= svc.destinationFactor(svc.weighted[i].server)
+	slices.SortFunc(ranked, func(a, b scoredServer) int { return compareScores(weighted(a), weighted(b)) })
+}
+
+// remoteRanking returns the servers of other regions in the order of their scores with the weights of
+// the regions. It sorts them again only after a change of the weights.
+func (svc *serviceState) remoteRanking(ranking *keyRanking) []scoredServer {
+	if ranking.destinationsGeneration != svc.destinationsGeneration {
+		svc.rankByDestination(ranking.remote)
+		ranking.destinationsGeneration = svc.destinationsGeneration
 	}
-	slices.SortFunc(svc.weighted, compareScores)
-	return svc.weighted
+	return ranking.remote
 }
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -92,6 +92,7 @@
 	s := r.server
 	s.inFlight--
 	p.recordContact(s, outcome, now)
+	s.recordHeard(outcome, now)
 	switch o := outcome.(type) {
 	case Responded:
 		s.consecutiveFailures = 0
@@ -113,6 +114,17 @@
 	p.dispatchAfterRelease(p.service(s.Service), s, now)
 }
 
+// recordHeard records when the server responded. Another server at its address does not count.
+func (s *server) recordHeard(outcome Outcome, now time.Time) {
+	switch outcome.(type) {
+	case Responded, Refused, InvalidResponse:
+		s.heardAt = now
+	case Misdirected:
+		s.heardAt = time.Time{}
+	case NoResponse, DeadlineExceeded, Inconclusive:
+	}
+}
+
 // eject ejects the server after a [NoResponse] outcome, for longer with each one in a
 // row.
 func (s *server) eject(now time.Time) {
--- a/placement/pool.go
+++ b/placement/pool.go
@@ -49,6 +49,10 @@
 	localShares map[string]float64
 	// slotTimes are the measured slot times by route.
 	slotTimes map[string]*slotTime
+	// maxShift is that of SetMaxShift.
+	maxShift float64
+	// spilling is the service of the last candidates if they are in another region than planned.
+	spilling *serviceState
 	// contact is what this host knows of its links to the servers.
 	contact contact
 	// statements holds what servers have said in their responses.
@@ -70,10 +74,11 @@
 	// servers are added, replaced or removed.
 	rankings    map[rankingKey]*keyRanking
 	utilization meanUtilization
+	spillover   spillover
 	// destinations are the factors of the scores of servers in other regions, by region.
-	destinations map[string]float64
-	// weighted is the memory for the result of rankByDestination.
-	weighted []scoredServer
+	// Each change of them is a generation.
+	destinations           map[string]float64
+	destinationsGeneration uint64
 	// promisedUntil is the latest time at which a request was told to come back whose servers
 	// were all paused.
 	promisedUntil time.Time
--- a/placement/ranking.go
+++ b/placement/ranking.go
@@ -32,6 +32,8 @@
 	// the highest first.
 	local  []scoredServer
 	remote []scoredServer
+	// destinationsGeneration is that of the weights of regions by which remote is sorted.
+	destinationsGeneration uint64
 }
 
 // ranking returns the ranking of the request's affinity key, which it computes if it is not
--- a/placement/request.go
+++ b/placement/request.go
@@ -31,12 +31,17 @@
 
 // allows reports whether the request may be sent to the server.
 func (r *Request) allows(s *server) bool {
+	return r.allowsRegion(s.Region) && !slices.Contains(r.ExcludedServers, s.Name)
+}
+
+// allowsRegion reports whether the request may run in the region.
+func (r *Request) allowsRegion(region string) bool {
 	for _, regions := range r.AllowedRegions {
-		if !routing.AllowsRegion(regions, s.Region) {
+		if !routing.AllowsRegion(regions, region) {
 			return false
 		}
 	}
-	return !slices.Contains(r.ExcludedServers, s.Name)
+	return true
 }
 
 // hashKey returns the text that is hashed to find the servers of the affinity key.
--- a/placement/server.go
+++ b/placement/server.go
@@ -25,6 +25,8 @@
 	// consecutiveFailures counts the [NoResponse] outcomes since the server last
 	// responded to or refused a request.
 	consecutiveFailures int
+	// heardAt is when the server last responded, whatever it said.
+	heardAt time.Time
 	// ejectedUntil is the end of the server's ejection; zero if it was never ejected.
 	ejectedUntil time.Time
 	// failureRate is the moving average of the fraction of requests that failed, from
