Log the plan, its correction and the requests that ran elsewhere

The event with a region's shares gave the shares in force and the utilization, from which an operator could not see whether the plan, measured utilization or servers that take no requests move load.

Tests: script/lint; go test -race ./observe ./internal/host.

--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -325,7 +325,7 @@
 // local shares.
 const regionShareLogInterval = 5 * time.Second
 
-// logRegionShares logs the remote and local shares in force, and the utilization that they
+// logRegionShares logs the remote and local shares in force, and the plan and the utilization that they
 // follow from, at most once per [regionShareLogInterval]. Routes that this region serves alone
 // are left out.
 func (h *host) logRegionShares(localShares map[string]float64, utilization map[string]placement.RegionUtilization) {
@@ -335,6 +335,18 @@
 	h.lastRegionShareLog = time.Now()
 	splitRoutes := maps.Clone(localShares)
 	maps.DeleteFunc(splitRoutes, func(_ string, share float64) bool { return share >= 1 })
-	h.log.Write(observe.RegionSharesLogged, zap.Any("away", h.currentRemoteShares()), zap.Any("crowding", utilization),
-		zap.Any("homes", splitRoutes), zap.Int("hosts", h.hostCount()), zap.Any("rates", h.limiter.Shares()))
+	planned, corrected, demand := make(map[string]float64), make(map[string]float64), make(map[string]map[string]float64)
+	for service, plan := range h.regionPlans {
+		if !plan.IsPlanned {
+			continue
+		}
+		planned[service], demand[service] = plan.Target, plan.Demand()
+		if plan.Correction > 0 {
+			corrected[service] = plan.Correction
+		}
+	}
+	h.log.Write(observe.RegionSharesLogged, zap.Any("away", h.currentRemoteShares()), zap.Any("planned", planned),
+		zap.Any("corrected", corrected), zap.Any("demand", demand), zap.Any("to", h.destinations()),
+		zap.Any("crowding", utilization), zap.Any("homes", splitRoutes), zap.Any("spilled", h.pool.SpilledRequests()),
+		zap.Int("hosts", h.hostCount()), zap.Any("rates", h.limiter.Shares()))
 }
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -309,12 +309,17 @@
 		Level:  zapcore.InfoLevel,
 		Fields: []string{
 			"away",
+			"planned",
+			"corrected",
+			"demand",
+			"to",
 			"crowding",
 			"homes",
+			"spilled",
 			"hosts",
 			"rates",
 		},
-		Cause:  "Logged periodically. away: for each service, the share of its load that other regions serve. crowding: for each service, its utilization by region. homes: for each route, the share of its affinity keys that are served in the local region; omitted if 1. hosts: the number of hosts that share the limits. rates: for each team with a limit, this host's share of its rate.",
+		Cause:  "Logged periodically. away: for each service, the share of its load that other regions serve. planned: what that share approaches according to demand and slots; omitted if demand is unknown, so that away follows crowding alone. corrected: what crowding adds to planned; omitted if 0. demand: for each service, the slots that the requests of the callers of each region are expected to occupy if the servers have their affinity keys cached. to: for each service, how what is away is divided among the other regions. crowding: for each service, its utilization by region. homes: for each route, the share of its affinity keys that are served in the local region; omitted if 1. spilled: for each service, the requests since the start that ran in another region than planned because no server in that region took them. hosts: the number of hosts that share the limits. rates: for each team with a limit, this host's share of its rate.",
 		Action: "None.",
 	}
 	TokenRequestFailed = Event{
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -24,8 +24,9 @@
     only their own keys move to other servers.
 
 The package also computes which fraction of a region's load other regions serve
-([RemoteShares], [LocalShares], [InitialRemoteShare]). The host calls these functions
-periodically, not for each request, and sets the result with [Pool.SetLocalShares].
+([RegionPlan], [RemoteShares], [LocalShares], [InitialRemoteShare]). The host calls these functions
+periodically, not for each request, and sets the result with [Pool.SetLocalShares] and
+[Pool.SetDestinations]. [Pool.SetMaxShift] bounds the requests that change their region.
 
 The package does no I/O. A pool holds what one host knows about all backend servers:
 the platform's list of servers, the requests that this host has in flight on each, and
--- a/placement/region_plan.go
+++ b/placement/region_plan.go
@@ -109,6 +109,15 @@
 	return next
 }
 
+// Demand returns the expected demand by region, in slots.
+func (p RegionPlan) Demand() map[string]float64 {
+	demand := make(map[string]float64, len(p.demand))
+	for region, trend := range p.demand {
+		demand[region] = trend.predicted()
+	}
+	return demand
+}
+
 // regionLoad is the capacity and the expected demand of a region, in slots.
 type regionLoad struct{ slots, demand, meanDemand float64 }
 
