Leave requests above a team's rate out of the demand by region

The rate of a route, from which load is distributed across regions, included requests that the team's rate limit rejected. They occupy no slots, so a team that sends five times its rate made its region look overloaded and moved the load of others. Requests are now counted once they have a token.

--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -74,6 +74,7 @@
 		// The body may have taken long to arrive.
 		s.checkDraining,
 		s.applyRateLimit,
+		s.recordDemand,
 	} {
 		if err := step(); err != nil {
 			return err
@@ -174,16 +175,12 @@
 }
 
 // applyRateLimit takes a rate-limit token of the team, from another host if this host has
-// none left. Before that it counts the request in the rate of its route, if any region may
-// serve the request; so the rate includes requests that the limit rejects.
+// none left.
 func (s *requestState) applyRateLimit() error {
 	if s.isForwarded {
-		// The host that forwarded the request has counted it.
+		// The host that forwarded the request has taken a token.
 		return nil
 	}
-	if !s.isRegionRestricted() {
-		s.handler.routeRates.record(s.route.Name, s.start)
-	}
 	if s.team == nil {
 		return nil
 	}
@@ -211,6 +208,16 @@
 	}
 }
 
+// recordDemand counts the request in the rate of its route, if any region may serve it. Requests that
+// the rate limit rejects are not counted: they occupy no slots, so no load needs to move for them. The
+// host that forwarded a request has counted it.
+func (s *requestState) recordDemand() error {
+	if !s.isForwarded && !s.isRegionRestricted() {
+		s.handler.routeRates.record(s.route.Name, s.start)
+	}
+	return nil
+}
+
 // borrowToken takes a rate-limit token of the team from another host. If there is none, it
 // returns false and the time until another host has one, zero if that is not known.
 func (s *requestState) borrowToken() (time.Duration, bool) {
--- /dev/null
+++ b/bufferproxy/route_rates_test.go
@@ -0,0 +1,27 @@
+package bufferproxy_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestDemandLeavesOutRequestsAboveRate guards against load that moves to other regions because a team
+// sends far more than its rate: what the limit rejects occupies no slots.
+func TestDemandLeavesOutRequestsAboveRate(t *testing.T) {
+	host := newTestHost(t, respondOK)
+	send := func() int {
+		r := host.request(http.MethodGet, "/stock/17", "")
+		r.Header.Set(apiKeyHeader, "small-key")
+		response, _ := host.send(r)
+		return response.StatusCode
+	}
+	require.Equal(t, http.StatusOK, send())
+	before := host.handler.RouteDemand()["stock"]
+	require.Positive(t, before)
+	for range 5 {
+		require.Equal(t, http.StatusTooManyRequests, send())
+	}
+	require.LessOrEqual(t, host.handler.RouteDemand()["stock"], before)
+}
