--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -138,9 +138,28 @@
 	if h.handler.Configuration() == nil || !h.serversLoaded.Load() {
 		return
 	}
+	utilization := h.utilizationByRegion()
+	var remoteShares placement.RemoteShares
+	if h.settings().MaxShift > 0 {
+		remoteShares = h.plannedRemoteShares(utilization, elapsed)
+	} else {
+		h.regionPlans = nil
+		remoteShares = h.reactiveRemoteShares(utilization, elapsed)
+	}
+	h.remoteShares.Store(&remoteShares)
+	loads := h.routeLoads()
+	localShares := placement.LocalShares(loads, remoteShares, h.roster.RoundTripToNearestRegion(h.settings().Region))
+	localShares = h.limitLocalShares(localShares, loads, elapsed)
+	h.localShares = localShares
+	h.pool.SetLocalShares(localShares)
+	h.pool.SetDestinations(h.destinations())
+	h.logRegionShares(localShares, utilization)
+}
+
+// reactiveRemoteShares returns the next remote shares by measured utilization alone.
+func (h *host) reactiveRemoteShares(utilization map[string]placement.RegionUtilization, elapsed time.Duration) placement.RemoteShares {
 	before := h.currentRemoteShares()
 	remoteShares := make(placement.RemoteShares)
-	utilization := h.utilizationByRegion()
 	for service, slots := range h.pool.UsableSlots() {
 		_, isKnown := before[service]
 		switch {
@@ -154,10 +173,7 @@
 			remoteShares[service] = before.NextShare(service, h.settings().Region, utilization[service], elapsed)
 		}
 	}
-	h.remoteShares.Store(&remoteShares)
-	localShares := placement.LocalShares(h.routeLoads(), remoteShares, h.roster.RoundTripToNearestRegion(h.settings().Region))
-	h.pool.SetLocalShares(localShares)
-	h.logRegionShares(localShares, utilization)
+	return remoteShares
 }
 
 // currentRemoteShares returns the remote shares in force, or nil before they are first
@@ -232,8 +248,12 @@
 // routeLoads returns the load that the callers of this region put on each service of each
 // route.
 func (h *host) routeLoads() []placement.RouteLoad {
-	rates := h.regionDemand()
-	cachedSlotTimes := h.cachedSlotTimes()
+	return h.routeLoadsOf(h.regionDemand()[h.settings().Region], h.cachedSlotTimes())
+}
+
+// routeLoadsOf returns the load on each service of each route from the rates of the requests by
+// route.
+func (h *host) routeLoadsOf(rates map[string]float64, cachedSlotTimes map[string]time.Duration) []placement.RouteLoad {
 	var loads []placement.RouteLoad
 	for _, r := range h.handler.Configuration().Routes {
 		totalWeight := 0.0
@@ -253,20 +273,30 @@
 	return loads
 }
 
-// regionDemand returns the rate of the requests of this region's callers by route.
-func (h *host) regionDemand() map[string]float64 {
-	if summary, isSummarized := h.regionSummaries()[h.settings().Region]; isSummarized {
-		return maps.Clone(summary.RouteDemand)
+// regionDemand returns the rate of the requests of each region's callers by route. A region of
+// which nothing was heard is left out.
+func (h *host) regionDemand() map[string]map[string]float64 {
+	demand := make(map[string]map[string]float64)
+	summaries := h.regionSummaries()
+	for region, summary := range summaries {
+		demand[region] = maps.Clone(summary.RouteDemand)
 	}
-	rates := h.handler.RouteDemand()
-	for _, peer := range h.roster.LivePeers() {
-		if peer.Region == h.settings().Region {
-			for route, rate := range peer.RouteDemand {
-				rates[route] += rate
-			}
+	add := func(region string, rates map[string]float64) {
+		if _, isSummarized := summaries[region]; isSummarized {
+			return
+		}
+		if demand[region] == nil {
+			demand[region] = make(map[string]float64)
+		}
+		for route, rate := range rates {
+			demand[region][route] += rate
 		}
 	}
-	return rates
+	add(h.settings().Region, h.handler.RouteDemand())
+	for _, peer := range h.roster.LivePeers() {
+		add(peer.Region, peer.RouteDemand)
+	}
+	return demand
 }
 
 // cachedSlotTimes returns, by route, how long a request occupies a slot if the server has its
@@ -295,7 +325,7 @@
 // local shares.
 const regionShareLogInterval = 5 * time.Second
 
-// logRegionShares logs the remote and local shares in force, and the utilization that they
+// logRegionShares logs the remote and local shares in force, and the plan and the utilization that they
 // follow from, at most once per [regionShareLogInterval]. Routes that this region serves alone
 // are left out.
 func (h *host) logRegionShares(localShares map[string]float64, utilization map[string]placement.RegionUtilization) {
@@ -305,6 +335,18 @@
 	h.lastRegionShareLog = time.Now()
 	splitRoutes := maps.Clone(localShares)
 	maps.DeleteFunc(splitRoutes, func(_ string, share float64) bool { return share >= 1 })
-	h.log.Write(observe.RegionSharesLogged, zap.Any("away", h.currentRemoteShares()), zap.Any("crowding", utilization),
-		zap.Any("homes", splitRoutes), zap.Int("hosts", h.hostCount()), zap.Any("rates", h.limiter.Shares()))
+	planned, corrected, demand := make(map[string]float64), make(map[string]float64), make(map[string]map[string]float64)
+	for service, plan := range h.regionPlans {
+		if !plan.IsPlanned {
+			continue
+		}
+		planned[service], demand[service] = plan.Target, plan.Demand()
+		if plan.Correction > 0 {
+			corrected[service] = plan.Correction
+		}
+	}
+	h.log.Write(observe.RegionSharesLogged, zap.Any("away", h.currentRemoteShares()), zap.Any("planned", planned),
+		zap.Any("corrected", corrected), zap.Any("demand", demand), zap.Any("to", h.destinations()),
+		zap.Any("crowding", utilization), zap.Any("homes", splitRoutes), zap.Any("spilled", h.pool.SpilledRequests()),
+		zap.Int("hosts", h.hostCount()), zap.Any("rates", h.limiter.Shares()))
 }
--- a/placement/acquire.go
+++ b/placement/acquire.go
@@ -69,7 +69,11 @@
 		svc.accounts.account(request).charge(p.meanSlotTime(request.Route), now)
 		return nil, newReservation(s, request, now, 0), nil
 	}
-	if wait := p.estimateWait(svc, request, request.rank(), candidates, now); now.Add(wait).After(p.admitUntil(request)) {
+	wait := p.estimateWait(svc, request, request.rank(), candidates, now)
+	if len(candidates) == 0 {
+		wait = p.timeUntilAccepting(svc, request, wait, now)
+	}
+	if now.Add(wait).After(p.admitUntil(request)) {
 		return nil, nil, p.reject(svc, request, wait, 0, now)
 	}
 	return p.enqueue(svc, *request, candidates, now), nil, nil
--- a/placement/region_shares.go
+++ b/placement/region_shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -46,6 +47,18 @@
 	return l.Rate * l.CachedSlotTime.Seconds()
 }
 
+// ServiceDemand returns the mean number of slots that requests occupy, by service. A service is
+// left out if the slot times of all its routes with requests are unknown.
+func ServiceDemand(loads []RouteLoad) map[string]float64 {
+	demand := make(map[string]float64)
+	for _, l := range loads {
+		if l.Rate == 0 || l.CachedSlotTime > 0 {
+			demand[l.Service] += l.occupiedSlots()
+		}
+	}
+	return demand
+}
+
 // RemoteShares is the fraction of a region's load that other regions serve, from 0
 // to 1, by service.
 type RemoteShares map[string]float64
@@ -146,6 +159,32 @@
 	return localShares
 }
 
+// LimitLocalShares returns the local shares between those in force and the wanted ones with which no
+// more than the given fraction of the region's requests changes its region. It weighs the routes by
+// their rates: routes with short slot times have more requests for the same load. Routes
+// without a share in force take the wanted one.
+func LimitLocalShares(inForce, wanted map[string]float64, loads []RouteLoad, limit float64) map[string]float64 {
+	moved, total := 0.0, 0.0
+	for _, l := range loads {
+		total += l.Rate
+		if before, isInForce := inForce[l.Route]; isInForce {
+			moved += l.Rate * math.Abs(wanted[l.Route]-before)
+		}
+	}
+	fraction := 1.0
+	if moved > limit*total {
+		fraction = limit * total / moved
+	}
+	limited := make(map[string]float64, len(wanted))
+	for route, share := range wanted {
+		if before, isInForce := inForce[route]; isInForce {
+			share = before + fraction*(share-before)
+		}
+		limited[route] = share
+	}
+	return limited
+}
+
 // sortBySlack sorts routes by the fraction of their latency target that is left after
 // the round trip and the slot time, the largest fraction first.
 func sortBySlack(loads []RouteLoad, roundTrip time.Duration) []RouteLoad {
@@ -197,13 +236,23 @@
 // UsableSlots returns the number of slots of the servers that accept requests, by
 // service and region.
 func (p *Pool) UsableSlots() map[string]map[string]float64 {
+	return p.sumSlots((*server).isUsable)
+}
+
+// WarmSlots returns the same without the servers that are cold.
+func (p *Pool) WarmSlots() map[string]map[string]float64 {
+	now := p.now()
+	return p.sumSlots(func(s *server) bool { return s.isUsable() && !s.isCold(now) })
+}
+
+func (p *Pool) sumSlots(include func(*server) bool) map[string]map[string]float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	slots := make(map[string]map[string]float64)
 	for name, svc := range p.services {
 		regions := make(map[string]float64)
 		for _, s := range svc.servers {
-			if s.isUsable() {
+			if include(s) {
 				regions[s.Region] += float64(s.Slots)
 			}
 		}
