Name the largest hosts of a region in lookups while they have room

Callers saw: late responses from hosts with a fifth of the processor and a twentieth of the bandwidth of others, which got as many requests. Cause: lookups named all ready hosts of a region. Change: hosts tell their size in their records and the load of their callers in heartbeats; lookups name as many tiers of hosts, the largest first, as have room.

--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -132,6 +132,7 @@
 	index      atomic.Pointer[routing.Index]
 	roundRobin weightedRoundRobin
 	routeRates routeRates
+	callerLoad callerLoad
 	// responseMemory limits the memory for responses.
 	responseMemory responseMemory
 	running        atomic.Int64
@@ -186,6 +187,7 @@
 		releaseResponse: func() {},
 	}
 	s.serve()
+	s.recordCallerLoad()
 	h.cancels.Delete(s)
 	s.cancel()
 	s.releaseResponse()
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -49,6 +49,8 @@
 	queueTime time.Duration
 	// releaseResponse frees the memory of the last response.
 	releaseResponse func()
+	// responseBytes is the size of the response body that was passed on.
+	responseBytes int64
 	// possibleRuns is the number of tried servers that may have run the request.
 	possibleRuns int
 }
--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -34,6 +34,7 @@
 		// The host that forwarded the request tells responses apart by it.
 		headers.Set(s.handler.HeaderCodec.RequestID, s.callerRequest.Header.Get(s.handler.HeaderCodec.RequestID))
 	}
+	s.responseBytes = resp.body.size
 	s.closeIfDraining()
 	s.w.WriteHeader(resp.status)
 	// A write error means that the caller's connection is closed, so that nothing else
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -102,6 +102,7 @@
 	// lastRegionShareLog is when the remote and local shares were last logged.
 	lastRegionShareLog time.Time
 	lastPartLog        partLog
+	callerHosts        callerHosts
 }
 
 // invalidObjects holds the invalid objects of the store that were logged, with the
@@ -223,6 +224,7 @@
 		Joined:        h.joined.Load(),
 		Forwards:      true,
 		Lends:         true,
+		Size:          h.settings().Machine.size(),
 	}
 }
 
--- a/internal/host/lookup.go
+++ b/internal/host/lookup.go
@@ -12,7 +12,8 @@
 // lookUp answers a lookup, with which a caller asks where it can reach entry hosts. It
 // returns the addresses of the ready hosts of the caller's region, or of all ready hosts if
 // that region has none, and the TTL of the response. Hosts that reach no backend server are left
-// out, unless all are such hosts.
+// out, unless all are such hosts, and so are small ones while large ones have room (see
+// [membership.CallerTiers]).
 func (h *host) lookUp(query platform.LookupRequest) ([]netip.AddrPort, time.Duration) {
 	hosts := h.roster.LivePeers()
 	if h.isReady() {
@@ -25,18 +26,19 @@
 	if isUsable := func(hb membership.Heartbeat) bool { return hb.Ready && !hb.CutOff }; slices.ContainsFunc(hosts, isUsable) {
 		hosts = slices.DeleteFunc(hosts, func(hb membership.Heartbeat) bool { return !isUsable(hb) })
 	}
-	var sameRegion, otherRegions []netip.AddrPort
+	var sameRegion []membership.HostRecord
+	var otherRegions []netip.AddrPort
 	for _, candidate := range hosts {
 		switch {
 		case !candidate.Ready:
 		case candidate.Region == query.Region:
-			sameRegion = append(sameRegion, candidate.CallerAddress)
+			sameRegion = append(sameRegion, candidate.HostRecord)
 		default:
 			otherRegions = append(otherRegions, candidate.CallerAddress)
 		}
 	}
 	if len(sameRegion) > 0 {
-		return sameRegion, h.lookupTTL()
+		return h.selectCallerHosts(query.Region, sameRegion), h.lookupTTL()
 	}
 	return otherRegions, h.lookupTTL()
 }
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -278,6 +278,7 @@
 		StoreVersions:   h.storeVersions(),
 		TeamDemand:      h.limiter.Demand(),
 		TeamShares:      h.limiter.Shares(),
+		CallerLoad:      h.callerLoad(),
 		RouteDemand:     h.handler.RouteDemand(),
 		CrashReports:    h.recentCrashReports(),
 		ServerLimits:    h.pool.ServerLimits(h.reportSource()),
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"go.uber.org/zap/zapcore"
+
+	"trefoilline.example/trefoilline/membership"
 )
 
 // Identity holds the name and location by which other hosts and callers know a host, and the
@@ -80,6 +82,14 @@
 	LinkMegabits float64 `json:"link-megabits"`
 }
 
+// size returns the size of the machine that other hosts are told.
+func (m Machine) size() membership.Size {
+	return membership.Size{
+		Cores:        m.CPUShare * m.CoreSpeed,
+		LinkMegabits: m.LinkMegabits,
+	}
+}
+
 // drainTimeout returns how long the host may take to stop.
 func (s Settings) drainTimeout() time.Duration {
 	return time.Duration(s.DrainSeconds * float64(time.Second))
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -43,6 +43,8 @@
 // [Heartbeat] with the same names.
 type RegionSummary struct {
 	Region string `json:"region"`
+	// CallerLoad is the sum over the hosts.
+	CallerLoad CallerLoad `json:"caller-load,omitzero"`
 	// RouteDemand is the sum over the hosts.
 	RouteDemand map[string]float64 `json:"demand,omitempty"`
 	// CachedSlotTimes is the lowest value of any host.
@@ -93,6 +95,7 @@
 	}
 	reports := make(map[string]float64)
 	for _, hb := range hosts {
+		summary.CallerLoad = summary.CallerLoad.Add(hb.CallerLoad)
 		for route, rate := range hb.RouteDemand {
 			summary.RouteDemand[route] += rate
 		}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -43,6 +43,8 @@
 	// Lends is true if the host divides the teams' rates as [quota.Division] says. A host of an
 	// earlier build does not.
 	Lends bool `json:"lends,omitempty"`
+	// Size is that of the host's machine. A host of an earlier build does not know it.
+	Size Size `json:"size,omitzero"`
 }
 
 // Heartbeat is the state that a host reports to the other hosts.
@@ -73,6 +75,8 @@
 	TeamDemand quota.Demand `json:"asked,omitempty"`
 	// TeamShares is the host's fraction of each team's rate.
 	TeamShares quota.Shares `json:"parts,omitempty"`
+	// CallerLoad is the load of the host's callers.
+	CallerLoad CallerLoad `json:"caller-load,omitzero"`
 	// RouteDemand is the rate of the requests that the host receives and that any
 	// region may serve, by route, in requests per second.
 	RouteDemand map[string]float64 `json:"demand,omitempty"`
