--- a/bufferproxy/forward.go
+++ b/bufferproxy/forward.go
@@ -64,6 +64,7 @@
 		queuedAt := s.handler.now()
 		reservation, err := s.handler.Pool.Acquire(s.ctx, s.placementRequest())
 		s.queueTime += s.handler.now().Sub(queuedAt)
+		s.recordPlacement(reservation, err)
 		if err != nil {
 			return s.resultOrFailure(last, err)
 		}
--- a/observe/catalogue_requests.go
+++ b/observe/catalogue_requests.go
@@ -40,7 +40,7 @@
 		Name:   "request-ended",
 		Level:  zapcore.InfoLevel,
 		Fields: requestFields("status", "return-in", "error"),
-		Cause:  "Logged by hosts that run trefoillined serve: the host answered a request itself, without a backend server's response. Status 429 and 503: the request was not run; 502 and 504: it may have run.",
+		Cause:  "Logged by hosts that run trefoillined serve: the host answered a request itself, without a backend server's response. Status 429 and 503: the request was not run; 502 and 504: it may have run. return-in: the time that Retry-After states; a request that returns after it goes before new ones of its team and priority.",
 		Action: "Check the error; servers lists the backend servers that the request was sent to, in order.",
 	}
 	RequestCompleted = Event{
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -99,6 +99,11 @@
 	m.histogram("queue-wait", m.TeamLabel(team)).Update(wait.Microseconds())
 }
 
+// RecordRetryAfter records after what time the caller of a request that found no room was told to return.
+func (m *Metrics) RecordRetryAfter(team string, wait time.Duration) {
+	m.histogram("retry-after", m.TeamLabel(team)).Update(wait.Microseconds())
+}
+
 // CountRejection counts a request that was not run, by team and reason.
 func (m *Metrics) CountRejection(team, reason string) {
 	m.IncrementCounter("refused/" + m.TeamLabel(team) + "/" + reason)
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -20,6 +20,10 @@
     served in other regions, each by the same servers all the time.
   - A burst: the servers of each key fill up, and requests are queued on this host,
     the most urgent first.
+  - A team that sends several times its usual rate: its requests wait behind those of
+    other teams of the same priority, which share the slots by their weights.
+  - Overload: requests that can still be in time go first, and rejected requests are
+    told different times to return, at which they go before new ones.
   - Servers that are added, drained or removed, become cold, slow down or fail:
     only their own keys move to other servers.
 
