Hold request bodies and responses within one memory budget

Cause: each body was buffered up to 256 KiB before any decision, with twice that allocated by io.ReadAll, and nothing bounded the total; only the parts of responses beyond 128 KiB had a limit of their own.

Change: bufferproxy reads bodies in steps of 16 KiB, each reserved in Handler.Memory before. A body without memory waits up to 1.5 s and is then rejected with 503 and Retry-After, one that stalled and was evicted with 408, or 502 if a server may have run it. A declared length over the limit is rejected with 413 unread. Bodies over 256 KiB with a declared length are sent on after 16 KiB and hold 64 KiB. A stalled upload loses its slot on a server while requests are queued for the service. Responses count until they are written; those for slow readers make room under pressure. The limit is a quarter of machine.memory-megabytes, 64 MiB if that is unknown.

A rejected body that is not read any more ends its connection, since net/http would wait for the rest of it before or after the response. A response that is dropped for lack of memory no longer counts against its server.

exchange.Bytes holds a body in pieces; its fingerprint is that of the same body in one piece.

go test -race of bufferproxy, exchange, crashdetect, observe, memorybudget and internal/host passes.

--- a/bufferproxy/errors.go
+++ b/bufferproxy/errors.go
@@ -56,6 +56,16 @@
 
 func (e *BodyError) Unwrap() error { return e.Cause }
 
+// MemoryError reports a request for whose body this host has no memory.
+type MemoryError struct {
+	// Cause is a [memorybudget.RefusedError], a [memorybudget.EvictedError], or the end of the request's context.
+	Cause error
+}
+
+func (e *MemoryError) Error() string { return "the request's body: " + e.Cause.Error() }
+
+func (e *MemoryError) Unwrap() error { return e.Cause }
+
 // CrashingRequestError reports a request that is rejected because it has crashed
 // backend servers.
 type CrashingRequestError struct{}
--- a/bufferproxy/forward.go
+++ b/bufferproxy/forward.go
@@ -98,6 +98,7 @@
 		s.serverRequest.HeaderOverrides.Set(s.handler.HeaderCodec.Team, s.team.Name)
 	}
 	s.serverRequest.OnResponseHeader = func(status int, h http.Header) { s.recordStatements(reservation, status, h) }
+	defer s.handler.occupySlot(s)()
 	sentAt := s.handler.now()
 	outcome := s.handler.Client.Send(s.ctx, server.Address, s.serverRequest)
 	attemptResult, serverOutcome := s.handleOutcome(outcome, reservation, sentAt)
@@ -186,9 +187,7 @@
 // readComplete reads the whole body of a response into memory. It returns an error if the response
 // is incomplete, or has a status 2xx and lacks the header that marks it as complete.
 func (s *requestState) readComplete(o *exchange.Response) (*response, error) {
-	body, release, err := s.handler.responseMemory.read(o, o.Length)
-	s.releaseResponse()
-	s.releaseResponse = release
+	body, err := s.readResponseBody(o, o.Length)
 	if err != nil {
 		return nil, err
 	}
@@ -207,7 +206,8 @@
 // had started.
 func (s *requestState) handleInvalidResponse(o *exchange.Response, reservation *placement.Reservation, err error) (result, placement.Outcome) {
 	var serverOutcome placement.Outcome = placement.InvalidResponse{}
-	if s.ctx.Err() != nil {
+	var noMemory *ResponseMemoryError
+	if s.ctx.Err() != nil || errors.As(err, &noMemory) {
 		serverOutcome = placement.Inconclusive{}
 	} else if o.BrokenByServer() && s.crashDetector() != nil {
 		s.crashDetector().RecordBrokenConnection(s.serverRequest, reservation.Server.Address)
--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -26,8 +26,8 @@
     headers are unchanged.
   - With a rejection: the request was not run and never will be. The status is 429 or
     503 if the caller may send the request again after the time in Retry-After, and
-    400, 401, 404 or 413 if the request itself is at fault. A request that has crashed
-    backend servers gets 503 too.
+    400, 401, 404 or 413 if the request itself is at fault, 408 if its body stalled while its
+    memory was needed. A request that has crashed backend servers gets 503 too.
   - With status 502 or 504: the request may have run.
 
 If the caller closes its connection or cancels the request before that, the request
@@ -58,6 +58,7 @@
 
 	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/header"
+	"trefoilline.example/trefoilline/memorybudget"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/placement"
 	"trefoilline.example/trefoilline/quota"
@@ -122,6 +123,8 @@
 	HostClient *exchange.Client
 	// CrashDetector detects requests that crash backend servers. It may be nil.
 	CrashDetector retry.CrashDetector
+	// Memory limits the memory for request bodies and responses. The zero value has a default limit.
+	Memory memorybudget.Budget
 	// Clock returns the current time; nil means [time.Now].
 	Clock func() time.Time
 	// Log writes the events of requests. The zero value discards them.
@@ -132,9 +135,10 @@
 	index      atomic.Pointer[routing.Index]
 	roundRobin weightedRoundRobin
 	routeRates routeRates
-	// responseMemory limits the memory for responses.
-	responseMemory responseMemory
-	running        atomic.Int64
+	// uploadSlots are the uploads that occupy slots on backend servers.
+	uploadSlots uploadSlots
+	memoryLog   memoryLog
+	running     atomic.Int64
 	// cancels holds the functions that end the running requests, by their states.
 	cancels sync.Map
 	// uploads holds what ends the reading of a body, by the states of the requests whose bodies are being read.
@@ -182,13 +186,11 @@
 		isForwarded:   isForwarded,
 		start:         h.now(),
 		cancel:        func() {},
-
-		releaseResponse: func() {},
 	}
 	s.serve()
 	h.cancels.Delete(s)
 	s.cancel()
-	s.releaseResponse()
+	s.endTransfers()
 }
 
 func (h *Handler) now() time.Time {
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/memorybudget"
 	"trefoilline.example/trefoilline/placement"
 	"trefoilline.example/trefoilline/retry"
 	"trefoilline.example/trefoilline/routing"
@@ -47,8 +48,12 @@
 	// queueTime is the total time that the request waited for slots on backend
 	// servers.
 	queueTime time.Duration
-	// releaseResponse frees the memory of the last response.
-	releaseResponse func()
+	// upload is the memory of the request's body; nil if there is none.
+	upload *memorybudget.Holding
+	// answer is the memory of the last response; nil if there was none.
+	answer *memorybudget.Holding
+	// transfers ends the transfers from and to the caller.
+	transfers transfers
 	// possibleRuns is the number of tried servers that may have run the request.
 	possibleRuns int
 }
@@ -59,7 +64,9 @@
 		s.reject(err)
 		return
 	}
-	s.respond(s.obtainResult())
+	result := s.obtainResult()
+	s.releaseBody()
+	s.respond(result)
 }
 
 // prepare runs the steps that come before the choice of a backend server. It returns the
@@ -144,6 +151,12 @@
 // the configuration.
 func (s *requestState) buildServerRequest() error {
 	limit := s.index.Limits.MaxBodyBytes
+	if limit > 0 && s.callerRequest.ContentLength > limit {
+		s.abandonBody()
+		return &http.MaxBytesError{
+			Limit: limit,
+		}
+	}
 	if limit > 0 && s.callerRequest.Body != nil && s.callerRequest.Body != http.NoBody {
 		s.callerRequest.Body = http.MaxBytesReader(s.w, s.callerRequest.Body, limit)
 	}
--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"trefoilline.example/trefoilline/memorybudget"
 	"trefoilline.example/trefoilline/placement"
 )
 
@@ -38,14 +39,15 @@
 	s.w.WriteHeader(resp.status)
 	// A write error means that the caller's connection is closed, so that nothing else
 	// can be sent to it.
-	_ = resp.body.writeTo(s.w)
+	_ = s.writeBody(resp.body)
 	s.recordResponse(resp.status)
 }
 
 // closeIfDraining closes the caller's connection after this response if this host is
-// draining, so that the caller sends its next requests to another host.
+// draining, so that the caller sends its next requests to another host, and if it does not read the rest of the
+// request's body.
 func (s *requestState) closeIfDraining() {
-	if s.handler.isDraining() {
+	if s.handler.isDraining() || s.uploadError() != nil {
 		s.w.Header().Set("Connection", "close")
 	}
 }
@@ -54,6 +56,10 @@
 // request was not run, the team gets its rate-limit token back, unless the caller has cancelled the
 // request.
 func (s *requestState) handleFailure(f *failure) {
+	if evicted := s.uploadError(); evicted != nil {
+		s.handleEvicted(f, evicted)
+		return
+	}
 	if s.isCancelledByCaller() {
 		s.recordCallerDisconnected()
 		s.answerDisconnected(f)
@@ -73,6 +79,18 @@
 	s.respondError(status, 0, f.cause)
 }
 
+// handleEvicted tells the caller that its body lost its memory or its slot on a backend server while it was sent on.
+func (s *requestState) handleEvicted(f *failure, evicted error) {
+	if f.mayHaveRun {
+		s.respondError(http.StatusBadGateway, 0, f.cause)
+		return
+	}
+	if s.team != nil && !s.isForwarded {
+		s.handler.RateLimiter.ReturnToken(s.team.Name)
+	}
+	s.reject(evicted)
+}
+
 // answerDisconnected answers a caller that has cancelled the request. It may have closed only its
 // sending side and read on, and without an answer net/http would send it a success.
 func (s *requestState) answerDisconnected(f *failure) {
@@ -90,6 +108,7 @@
 	var unknownKey *UnknownKeyError
 	var tooLarge *http.MaxBytesError
 	var body *BodyError
+	var memory *MemoryError
 	switch {
 	case errors.As(cause, &rateLimit):
 		s.respondError(http.StatusTooManyRequests, rateLimit.RetryAfter, cause)
@@ -99,6 +118,12 @@
 		s.respondError(http.StatusUnauthorized, 0, cause)
 	case errors.As(cause, &tooLarge):
 		s.respondError(http.StatusRequestEntityTooLarge, 0, cause)
+	case errors.As(cause, &memory) && isStalled(memory):
+		s.abandonBody()
+		s.respondError(http.StatusRequestTimeout, 0, cause)
+	case errors.As(cause, &memory):
+		s.abandonBody()
+		s.respondError(http.StatusServiceUnavailable, memorybudget.Window, cause)
 	case errors.As(cause, &body):
 		s.respondError(http.StatusBadRequest, 0, cause)
 	default:
@@ -135,6 +160,9 @@
 // writeError writes the response, and returns its status, which is another one for another host.
 func (s *requestState) writeError(status int, wait time.Duration, cause error) int {
 	s.closeIfDraining()
+	if s.isBodyUnread() {
+		s.abandonBody()
+	}
 	if wait > 0 {
 		s.w.Header().Set("Retry-After", s.handler.HeaderCodec.FormatRetryAfter(wait))
 	}
--- a/bufferproxy/response_body.go
+++ b/bufferproxy/response_body.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
-	"sync/atomic"
+
+	"trefoilline.example/trefoilline/memorybudget"
+	"trefoilline.example/trefoilline/routing"
 )
 
 // Limits of the responses that are held in memory until they are complete.
@@ -11,19 +13,12 @@
 	// MaxResponseBytes is the size of the largest response body that is passed on, in
 	// bytes.
 	MaxResponseBytes = 8 << 20
-	// freeResponseBytes is the part of each response body that does not count towards
-	// maxLargeResponseBytes.
-	freeResponseBytes = 128 << 10
-	// maxLargeResponseBytes is how many bytes beyond their first freeResponseBytes all
-	// responses together may take.
-	maxLargeResponseBytes = 24 << 20
-	// chunkSize is how many bytes of a response are read and counted at once.
+	// chunkSize is how many bytes of a response are reserved and read at once.
 	chunkSize = 32 << 10
 )
 
 // ResponseTooLargeError reports a response of a backend server that does not end within
-// [MaxResponseBytes], or for which this host has no memory, since other large responses take
-// it. It is dropped.
+// [MaxResponseBytes]. It is dropped.
 type ResponseTooLargeError struct {
 	// Received is how many bytes of the body were read.
 	Received int64
@@ -33,9 +28,18 @@
 	return fmt.Sprintf("the response body was dropped after %d bytes, since it is too large", e.Received)
 }
 
-// responseMemory counts the bytes that large responses take in memory. The zero value is ready
-// for use. It is safe for concurrent use.
-type responseMemory struct{ large atomic.Int64 }
+// ResponseMemoryError reports a response of a backend server that was dropped because this host has no memory for it.
+type ResponseMemoryError struct {
+	// Received is how many bytes of the body were read.
+	Received int64
+	Cause    error
+}
+
+func (e *ResponseMemoryError) Error() string {
+	return fmt.Sprintf("the response body was dropped after %d bytes: %v", e.Received, e.Cause)
+}
+
+func (e *ResponseMemoryError) Unwrap() error { return e.Cause }
 
 // responseBody is a complete body in pieces. Pieces take no more memory than the bytes in them,
 // unlike a slice that grows.
@@ -44,47 +48,64 @@
 	size   int64
 }
 
-// writeTo writes the body.
-func (b *responseBody) writeTo(w io.Writer) error {
-	for _, chunk := range b.chunks {
-		if _, err := w.Write(chunk); err != nil {
+// writeTo writes the body, and releases the memory of each piece that was written.
+func (b *responseBody) writeTo(w io.Writer, memory *memorybudget.Holding) error {
+	for i, chunk := range b.chunks {
+		memory.Begin()
+		n, err := w.Write(chunk)
+		memory.End(n)
+		if err != nil {
 			return err
 		}
+		b.chunks[i] = nil
+		memory.Release(int64(cap(chunk)))
 	}
 	return nil
 }
 
-// read reads a response body into memory, until its end or until it is too large. The caller
-// must call release when the body is no longer needed, also after an error.
+// readResponseBody reads a response body into memory, until its end or until it is too large. It releases the memory of the
+// response to an earlier attempt.
 //
 // A backend server may send bytes without end. Each such response takes memory until it is
-// dropped, and many servers may do so at the same time, so all large ones share one limit;
-// small ones are not affected.
-func (m *responseMemory) read(body io.Reader, declaredLength int64) (content *responseBody, release func(), err error) {
-	content = &responseBody{}
-	counted := int64(0)
-	release = func() { m.large.Add(-counted) }
+// dropped, and many servers may do so at the same time, so all responses share the memory budget, which
+// keeps some for the starts of responses.
+func (s *requestState) readResponseBody(body io.Reader, declaredLength int64) (*responseBody, error) {
+	if s.answer != nil {
+		s.answer.Close()
+	}
+	s.answer = s.handler.Memory.Open(memorybudget.Owner{
+		Group:    s.memoryGroup(),
+		Kind:     memorybudget.Response,
+		Priority: routing.EffectivePriority(s.route, s.team),
+		Expected: declaredLength + 1,
+		OnEvict:  s.interruptResponse,
+	})
 	if declaredLength > MaxResponseBytes {
-		return nil, release, &ResponseTooLargeError{}
+		return nil, &ResponseTooLargeError{}
 	}
+	content := &responseBody{}
 	for {
-		chunk := make([]byte, nextChunkSize(content.size, declaredLength))
+		size := nextChunkSize(content.size, declaredLength)
+		if err := s.answer.Reserve(s.ctx, size); err != nil {
+			s.handler.recordMemoryRefusal("response", err)
+			return nil, &ResponseMemoryError{
+				Received: content.size,
+				Cause:    err,
+			}
+		}
+		chunk := make([]byte, size)
 		n, err := io.ReadFull(body, chunk)
 		content.chunks = append(content.chunks, chunk[:n])
 		content.size += int64(n)
-		if large := content.size - freeResponseBytes; large > counted {
-			m.large.Add(large - counted)
-			counted = large
-		}
 		switch {
 		case err == io.EOF, err == io.ErrUnexpectedEOF:
 			// Both mean that the body ended with io.EOF. The body of a response that
 			// broke off ends with an error of another type.
-			return content, release, nil
+			return content, nil
 		case err != nil:
-			return nil, release, err
-		case content.size > MaxResponseBytes, counted > 0 && m.large.Load() > maxLargeResponseBytes:
-			return nil, release, &ResponseTooLargeError{
+			return nil, err
+		case content.size > MaxResponseBytes:
+			return nil, &ResponseTooLargeError{
 				Received: content.size,
 			}
 		}
--- a/crashdetect/detector_test.go
+++ b/crashdetect/detector_test.go
@@ -244,3 +244,14 @@
 		require.True(t, other.ShouldReject(order))
 	})
 }
+
+// TestBodyInPiecesHasTheSameFingerprint guards against requests that are not recognized as those that crashed servers, because their body
+// was read in other pieces.
+func TestBodyInPiecesHasTheSameFingerprint(t *testing.T) {
+	whole := crashdetect.FingerprintOf(newRequest("/orders", bytesBody("a body in pieces")))
+	require.Equal(t, whole, crashdetect.FingerprintOf(newRequest("/orders", &exchange.Bytes{
+		Content: []byte("a body"),
+		More:    [][]byte{[]byte(" in "), []byte("pieces")},
+	})))
+	require.NotEqual(t, whole, crashdetect.FingerprintOf(newRequest("/orders", bytesBody("a body"))))
+}
--- a/crashdetect/report.go
+++ b/crashdetect/report.go
@@ -99,8 +99,9 @@
 // may reach entry hosts under different names.
 func FingerprintOf(request *exchange.Request) Fingerprint {
 	hash := sha256.New()
+	addLength := func(length int64) { _, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(length))) }
 	add := func(part []byte) {
-		_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part))))
+		addLength(int64(len(part)))
 		_, _ = hash.Write(part)
 	}
 	add([]byte(request.APIKey))
@@ -110,7 +111,12 @@
 	add([]byte(request.Header.Get("Content-Type")))
 	switch b := request.Body.(type) {
 	case *exchange.Bytes:
-		add(b.Content)
+		// The same whether the body is in pieces or not.
+		addLength(b.Length())
+		_, _ = hash.Write(b.Content)
+		for _, piece := range b.More {
+			_, _ = hash.Write(piece)
+		}
 	case *exchange.Stream:
 		add(binary.BigEndian.AppendUint64(nil, uint64(b.Length)))
 		add(b.Prefix)
--- a/exchange/body.go
+++ b/exchange/body.go
@@ -30,9 +30,34 @@
 // Bytes is a body in memory, which can be sent any number of times.
 type Bytes struct {
 	Content []byte
+	// More holds the pieces that follow Content if the body is not in one piece.
+	More    [][]byte
 	Trailer http.Header
 }
 
+// Length returns the length of the body in bytes.
+func (b *Bytes) Length() int64 {
+	length := int64(len(b.Content))
+	for _, piece := range b.More {
+		length += int64(len(piece))
+	}
+	return length
+}
+
+// newReader returns a reader of the whole body.
+func (b *Bytes) newReader() io.Reader {
+	if len(b.More) == 0 {
+		return bytes.NewReader(b.Content)
+	}
+	readers := []io.Reader{
+		bytes.NewReader(b.Content),
+	}
+	for _, piece := range b.More {
+		readers = append(readers, bytes.NewReader(piece))
+	}
+	return io.MultiReader(readers...)
+}
+
 func (*Stream) body() {}
 func (*Bytes) body()  {}
 
--- a/exchange/request_body.go
+++ b/exchange/request_body.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 )
@@ -13,8 +12,8 @@
 		outgoing.ContentLength = b.Length
 		a.setBodyReader(outgoing, b, b.Trailer)
 	case *Bytes:
-		outgoing.ContentLength = int64(len(b.Content))
-		a.setBodyReader(outgoing, bytes.NewReader(b.Content), b.Trailer)
+		outgoing.ContentLength = b.Length()
+		a.setBodyReader(outgoing, b.newReader(), b.Trailer)
 	default:
 		outgoing.Body = http.NoBody
 	}
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -133,6 +133,7 @@
 // serveMetrics writes the metrics as text, one value per line.
 func (h *host) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	h.handler.UpdateMemoryGauges()
 	h.handler.Metrics.WriteText(w)
 }
 
--- a/memorybudget/budget.go
+++ b/memorybudget/budget.go
@@ -93,10 +93,31 @@
 
 // group is what the holdings of a Group have in common.
 type group struct {
-	id       Group
-	used     int64
-	leaving  int64
-	holdings map[*Holding]struct{}
+	id      Group
+	used    int64
+	leaving int64
+	// first is the start of the list of its holdings. A map would cost each request an allocation.
+	first *Holding
+}
+
+func (g *group) add(h *Holding) {
+	h.group, h.next = g, g.first
+	if g.first != nil {
+		g.first.previous = h
+	}
+	g.first = h
+}
+
+func (g *group) remove(h *Holding) {
+	if h.previous == nil {
+		g.first = h.next
+	} else {
+		h.previous.next = h.next
+	}
+	if h.next != nil {
+		h.next.previous = h.previous
+	}
+	h.previous, h.next = nil, nil
 }
 
 // staying returns how many bytes the group will hold when its evicted holdings are gone.
--- a/memorybudget/budget_test.go
+++ b/memorybudget/budget_test.go
@@ -325,7 +325,7 @@
 		for _, priority := range []int{2, 1} {
 			go func() {
 				h := l.budget.Open(memorybudget.Owner{
-					Expected: 1 << 20,
+					Expected: 2 * memorybudget.ShortUploadBytes,
 					Priority: priority,
 				})
 				defer h.Close()
--- a/memorybudget/evict.go
+++ b/memorybudget/evict.go
@@ -135,7 +135,7 @@
 func (b *Budget) candidates(now time.Time) map[*group][]candidate {
 	all := make(map[*group][]candidate)
 	for _, g := range b.groups {
-		for h := range g.holdings {
+		for h := g.first; h != nil; h = h.next {
 			if c, isCandidate := h.candidate(now); isCandidate {
 				all[g] = append(all[g], c)
 			}
--- a/memorybudget/holding.go
+++ b/memorybudget/holding.go
@@ -19,7 +19,7 @@
 	Kind  Kind
 	// Priority orders reservations that wait; zero is the most urgent.
 	Priority int
-	// Expected is how many bytes will be reserved for a request body, negative if it is not known.
+	// Expected is how many bytes will be reserved in all, negative if it is not known.
 	Expected int64
 	// OnEvict is called once when the holding is evicted, by the goroutine of another holding or of a timer. It
 	// ends the transfer that runs. It may be nil.
@@ -35,7 +35,10 @@
 	// The following fields are protected by the lock of the budget.
 
 	group *group
-	used  int64
+	// previous and next are its neighbors among the holdings of the group.
+	previous, next *Holding
+
+	used int64
 	// credit is the part of used that was reserved ahead.
 	credit int64
 	// evicted is the reason of the eviction, empty before.
@@ -56,16 +59,14 @@
 	g, isKnown := b.groups[owner.Group]
 	if !isKnown {
 		g = &group{
-			id:       owner.Group,
-			holdings: make(map[*Holding]struct{}),
+			id: owner.Group,
 		}
 		if b.groups == nil {
 			b.groups = make(map[Group]*group)
 		}
 		b.groups[owner.Group] = g
 	}
-	g.holdings[h] = struct{}{}
-	h.group = g
+	g.add(h)
 	return h
 }
 
@@ -142,8 +143,8 @@
 	}
 	h.isClosed = true
 	h.release(h.used)
-	delete(h.group.holdings, h)
-	if len(h.group.holdings) == 0 {
+	h.group.remove(h)
+	if h.group.first == nil {
 		delete(b.groups, h.group.id)
 	}
 	b.grant()
--- a/memorybudget/reservation.go
+++ b/memorybudget/reservation.go
@@ -54,11 +54,8 @@
 
 func (b *Budget) fits(class Class, n int64) bool { return b.used+n <= b.ceiling(class) }
 
-// maxAhead is how many bytes a reservation that waits covers at most beyond what is asked for.
-const maxAhead = 256 << 10
-
-// enqueue adds a reservation behind those that are as urgent and whose groups hold no more. It covers the rest of a short body whose
-// length is declared, so that no body waits twice: else bodies that hold memory would wait for each other.
+// enqueue adds a reservation behind those that are as urgent and whose groups hold no more. It covers the rest of a body whose
+// length is declared if that can fit, so that no body waits twice: else bodies that hold memory would wait for each other.
 func (b *Budget) enqueue(h *Holding, class Class, n int64) *reservation {
 	added := &reservation{
 		holding:   h,
@@ -68,7 +65,7 @@
 		since:     b.now(),
 		done:      make(chan error, 1),
 	}
-	if ahead := h.owner.Expected - h.used - n; ahead > 0 && ahead <= maxAhead && n+ahead <= b.ceiling(class) {
+	if ahead := h.owner.Expected - h.used - n; ahead > 0 && n+ahead <= b.ceiling(class) {
 		added.ahead = ahead
 	}
 	h.waiting = added
--- a/observe/catalogue_requests.go
+++ b/observe/catalogue_requests.go
@@ -67,6 +67,23 @@
 		Cause:  "The caller closed its connection before the response to its request was sent.",
 		Action: "If there are many, compare took with allowed, the time to the caller's deadline: callers may close the connection before the deadline that they state.",
 	}
+	MemoryShort = Event{
+		Number: 409,
+		Name:   "memory-short",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"used",
+			"limit",
+			"waiting",
+			"evicted",
+			"refused",
+			"caller",
+			"team",
+			"most",
+		},
+		Cause:  "Logged by hosts that run trefoillined serve, at most every 10 s: request bodies or responses lost their memory or their slot (evicted), or got none in time (refused); the counts are those since the last such line. used and limit are the memory budget in bytes, waiting is what waits for memory, and caller and team are those that hold the most, with the bytes that they hold.",
+		Action: "If one caller or team holds most of it, ask its owner why its requests stop short; else add hosts or memory. The metrics memory-evicted and memory-refused have the counts by reason.",
+	}
 	RequestOutcomeUnknown = Event{
 		Number: 401,
 		Name:   "request-unknown",
--- a/observe/list.go
+++ b/observe/list.go
@@ -51,6 +51,7 @@
 		RequestCompleted,
 		RequestSlow,
 		CallerDisconnected,
+		MemoryShort,
 		InvariantViolated,
 		LogLinesDropped,
 	}
