Keep slots from uploads that stop short one after another

Two causes: a stalled upload lost its slot only to queued requests, but a request is turned away at once if the estimated wait is too long; and the next upload that stops short took the slot.

Change: requests that were turned away since the last review count like queued ones. While slots of a service are short, streamed uploads of a caller and team get no further slot there while two and at least half of theirs have stalled, or while one has a slot after two lost theirs. A body that is not read to its end no longer delays the response to a request that failed.

--- a/bufferproxy/errors.go
+++ b/bufferproxy/errors.go
@@ -66,6 +66,14 @@
 
 func (e *MemoryError) Unwrap() error { return e.Cause }
 
+// UploadsStalledError reports an upload that gets no slot on a backend server, since others of the same caller and team have stalled and occupy
+// slots that other requests need.
+type UploadsStalledError struct{}
+
+func (*UploadsStalledError) Error() string {
+	return "uploads of the same caller and team have stalled, and slots on backend servers are short"
+}
+
 // CrashingRequestError reports a request that is rejected because it has crashed
 // backend servers.
 type CrashingRequestError struct{}
--- a/bufferproxy/eviction.go
+++ b/bufferproxy/eviction.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"trefoilline.example/trefoilline/exchange"
 	"trefoilline.example/trefoilline/memorybudget"
 )
 
@@ -81,8 +80,8 @@
 	s.endReading()
 }
 
-// isBodyUnread reports whether a read of the body waits for the caller.
-func (s *requestState) isBodyUnread() bool { return s.upload != nil && s.upload.IsTransferring() }
+// isBodyUnread reports whether a part of a body that was to be sent on while it arrives was not read.
+func (s *requestState) isBodyUnread() bool { return s.stream != nil && !s.stream.isAtEnd.Load() }
 
 // uploadError returns a [MemoryError] if the body was evicted while it was sent on.
 func (s *requestState) uploadError() error {
@@ -123,68 +122,6 @@
 	return memorybudget.NewGroup(address.Addr(), s.teamName())
 }
 
-// uploadSlots holds the requests whose bodies are sent to backend servers while they arrive. Those that stall lose their slot when
-// others are queued for it. The zero value is ready for use.
-type uploadSlots struct {
-	mu      sync.Mutex
-	holders map[*requestState]struct{}
-	// isDue is true while a timer for the next review runs.
-	isDue bool
-}
-
-// slotReviewInterval is the time between two checks of the uploads that occupy slots.
-const slotReviewInterval = memorybudget.Window / 10
-
-// occupySlot registers a request that has a slot, until the returned function is called.
-func (h *Handler) occupySlot(s *requestState) (free func()) {
-	if _, isStream := s.serverRequest.Body.(*exchange.Stream); !isStream {
-		return func() {}
-	}
-	slots := &h.uploadSlots
-	slots.mu.Lock()
-	defer slots.mu.Unlock()
-	if slots.holders == nil {
-		slots.holders = make(map[*requestState]struct{})
-	}
-	slots.holders[s] = struct{}{}
-	h.scheduleSlotReview()
-	return func() {
-		slots.mu.Lock()
-		defer slots.mu.Unlock()
-		delete(slots.holders, s)
-	}
-}
-
-// scheduleSlotReview starts the timer of the next review while there are uploads. The lock must be held.
-func (h *Handler) scheduleSlotReview() {
-	if h.uploadSlots.isDue || len(h.uploadSlots.holders) == 0 {
-		return
-	}
-	h.uploadSlots.isDue = true
-	time.AfterFunc(slotReviewInterval, h.reviewSlots)
-}
-
-// reviewSlots evicts stalled uploads, at most one for each request that is queued for their service.
-func (h *Handler) reviewSlots() {
-	var holders []*requestState
-	h.uploadSlots.mu.Lock()
-	for s := range h.uploadSlots.holders {
-		holders = append(holders, s)
-	}
-	h.uploadSlots.isDue = false
-	h.scheduleSlotReview()
-	h.uploadSlots.mu.Unlock()
-	queued := make(map[string]int)
-	for _, s := range holders {
-		if _, isKnown := queued[s.service]; !isKnown {
-			queued[s.service] = h.Pool.QueuedRequests(s.service)
-		}
-		if queued[s.service] > 0 && s.upload.EvictIfStalled(memorybudget.SlotNeeded) {
-			queued[s.service]--
-		}
-	}
-}
-
 // isStalled reports whether the error is that of a sender that stalled.
 func isStalled(err error) bool {
 	var evicted *memorybudget.EvictedError
--- a/bufferproxy/forward.go
+++ b/bufferproxy/forward.go
@@ -61,9 +61,16 @@
 		if detector := s.crashDetector(); detector != nil && detector.ShouldReject(s.serverRequest) {
 			return s.resultOrFailure(last, &CrashingRequestError{})
 		}
+		if s.handler.rejectsUpload(s) {
+			return s.resultOrFailure(last, &UploadsStalledError{})
+		}
 		queuedAt := s.handler.now()
 		reservation, err := s.handler.Pool.Acquire(s.ctx, s.placementRequest())
 		s.queueTime += s.handler.now().Sub(queuedAt)
+		var busy *placement.BusyError
+		if isBusy := errors.As(err, &busy); isBusy || err == nil && reservation.QueueTime > 0 {
+			s.handler.uploadSlots.recordShortage(s.service, isBusy, queuedAt)
+		}
 		if err != nil {
 			return s.resultOrFailure(last, err)
 		}
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -50,6 +50,8 @@
 	queueTime time.Duration
 	// upload is the memory of the request's body; nil if there is none.
 	upload *memorybudget.Holding
+	// stream is the body if it is sent on while it arrives, nil otherwise.
+	stream *streamReader
 	// answer is the memory of the last response; nil if there was none.
 	answer *memorybudget.Holding
 	// transfers ends the transfers from and to the caller.
--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -109,6 +110,7 @@
 	var tooLarge *http.MaxBytesError
 	var body *BodyError
 	var memory *MemoryError
+	var stalled *UploadsStalledError
 	switch {
 	case errors.As(cause, &rateLimit):
 		s.respondError(http.StatusTooManyRequests, rateLimit.RetryAfter, cause)
@@ -121,9 +123,10 @@
 	case errors.As(cause, &memory) && isStalled(memory):
 		s.abandonBody()
 		s.respondError(http.StatusRequestTimeout, 0, cause)
-	case errors.As(cause, &memory):
+	case errors.As(cause, &memory), errors.As(cause, &stalled):
 		s.abandonBody()
-		s.respondError(http.StatusServiceUnavailable, memorybudget.Window, cause)
+		// With jitter, so that requests that are rejected together don't return together.
+		s.respondError(http.StatusServiceUnavailable, memorybudget.Window+rand.N(memorybudget.Window/2), cause)
 	case errors.As(cause, &body):
 		s.respondError(http.StatusBadRequest, 0, cause)
 	default:
--- a/bufferproxy/upload.go
+++ b/bufferproxy/upload.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"trefoilline.example/trefoilline/exchange"
@@ -126,12 +127,13 @@
 	for _, piece := range pieces {
 		prefix = append(prefix, piece[:min(len(piece), prefixBytes-len(prefix))]...)
 	}
+	s.stream = &streamReader{
+		pieces: pieces,
+		rest:   stream.Reader,
+		upload: s.upload,
+	}
 	return &exchange.Stream{
-		Reader: &streamReader{
-			pieces: pieces,
-			rest:   stream.Reader,
-			upload: s.upload,
-		},
+		Reader:  s.stream,
 		Length:  stream.Length,
 		Trailer: stream.Trailer,
 		Prefix:  prefix,
@@ -180,6 +182,8 @@
 	pieces [][]byte
 	rest   io.Reader
 	upload *memorybudget.Holding
+	// isAtEnd is true once the whole body was read.
+	isAtEnd atomic.Bool
 }
 
 // Read reads from the pieces, and then from the caller.
@@ -188,6 +192,9 @@
 		r.upload.Begin()
 		n, err := r.rest.Read(p)
 		r.upload.End(n)
+		if err == io.EOF {
+			r.isAtEnd.Store(true)
+		}
 		return n, err
 	}
 	n := copy(p, r.pieces[0])
--- a/memorybudget/holding.go
+++ b/memorybudget/holding.go
@@ -1,6 +1,9 @@
 package memorybudget
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Kind is what a holding holds.
 type Kind int
@@ -102,6 +105,9 @@
 // IsTransferring reports whether a transfer has begun and not ended.
 func (h *Holding) IsTransferring() bool { return h.meter.hasBegun() }
 
+// StalledFor returns for how long the transfer that runs has moved nothing; zero if none runs.
+func (h *Holding) StalledFor() time.Duration { return h.meter.stalledFor(h.budget.now()) }
+
 // Err returns an [EvictedError] if the holding was evicted.
 func (h *Holding) Err() error {
 	h.budget.mu.Lock()
--- a/memorybudget/reservation.go
+++ b/memorybudget/reservation.go
@@ -46,6 +46,8 @@
 		return nil, nil
 	}
 	waiting := b.enqueue(h, class, n)
+	// It may be the first in the queue, and fit.
+	b.grant()
 	victims := b.review()
 	b.mu.Unlock()
 	notify(victims)
