--- a/bufferproxy/errors.go
+++ b/bufferproxy/errors.go
@@ -56,6 +56,24 @@
 
 func (e *BodyError) Unwrap() error { return e.Cause }
 
+// MemoryError reports a request for whose body this host has no memory.
+type MemoryError struct {
+	// Cause is a [memorybudget.RefusedError], a [memorybudget.EvictedError], or the end of the request's context.
+	Cause error
+}
+
+func (e *MemoryError) Error() string { return "the request's body: " + e.Cause.Error() }
+
+func (e *MemoryError) Unwrap() error { return e.Cause }
+
+// UploadsStalledError reports an upload that gets no slot on a backend server, since others of the same caller and team have stalled and occupy
+// slots that other requests need.
+type UploadsStalledError struct{}
+
+func (*UploadsStalledError) Error() string {
+	return "uploads of the same caller and team have stalled, and slots on backend servers are short"
+}
+
 // CrashingRequestError reports a request that is rejected because it has crashed
 // backend servers.
 type CrashingRequestError struct{}
--- a/bufferproxy/forward.go
+++ b/bufferproxy/forward.go
@@ -61,10 +61,17 @@
 		if detector := s.crashDetector(); detector != nil && detector.ShouldReject(s.serverRequest) {
 			return s.resultOrFailure(last, &CrashingRequestError{})
 		}
+		if s.handler.rejectsUpload(s) {
+			return s.resultOrFailure(last, &UploadsStalledError{})
+		}
 		queuedAt := s.handler.now()
 		reservation, err := s.handler.Pool.Acquire(s.ctx, s.placementRequest())
 		s.queueTime += s.handler.now().Sub(queuedAt)
 		s.recordPlacement(reservation, err)
+		var busy *placement.BusyError
+		if isBusy := errors.As(err, &busy); isBusy || err == nil && reservation.QueueTime > 0 {
+			s.handler.uploadSlots.recordShortage(s.service, isBusy, queuedAt)
+		}
 		if err != nil {
 			return s.resultOrFailure(last, err)
 		}
@@ -99,6 +106,7 @@
 		s.serverRequest.HeaderOverrides.Set(s.handler.HeaderCodec.Team, s.team.Name)
 	}
 	s.serverRequest.OnResponseHeader = func(status int, h http.Header) { s.recordStatements(reservation, status, h) }
+	defer s.handler.occupySlot(s)()
 	sentAt := s.handler.now()
 	outcome := s.handler.Client.Send(s.ctx, server.Address, s.serverRequest)
 	attemptResult, serverOutcome := s.handleOutcome(outcome, reservation, sentAt)
@@ -187,9 +195,7 @@
 // readComplete reads the whole body of a response into memory. It returns an error if the response
 // is incomplete, or has a status 2xx and lacks the header that marks it as complete.
 func (s *requestState) readComplete(o *exchange.Response) (*response, error) {
-	body, release, err := s.handler.responseMemory.read(o, o.Length)
-	s.releaseResponse()
-	s.releaseResponse = release
+	body, err := s.readResponseBody(o, o.Length)
 	if err != nil {
 		return nil, err
 	}
@@ -208,7 +214,8 @@
 // had started.
 func (s *requestState) handleInvalidResponse(o *exchange.Response, reservation *placement.Reservation, err error) (result, placement.Outcome) {
 	var serverOutcome placement.Outcome = placement.InvalidResponse{}
-	if s.ctx.Err() != nil {
+	var noMemory *ResponseMemoryError
+	if s.ctx.Err() != nil || errors.As(err, &noMemory) {
 		serverOutcome = placement.Inconclusive{}
 	} else if o.BrokenByServer() && s.crashDetector() != nil {
 		s.crashDetector().RecordBrokenConnection(s.serverRequest, reservation.Server.Address)
--- a/observe/list.go
+++ b/observe/list.go
@@ -52,6 +52,7 @@
 		RequestCompleted,
 		RequestSlow,
 		CallerDisconnected,
+		MemoryShort,
 		InvariantViolated,
 		LogLinesDropped,
 	}
