Bound connections, and what is sent before and in a header, by listener

Cause: a server of package connection accepted connections without a bound, and its header limits could not change while it runs. Change: Server.Limits, with a decision of its own (eviction.go) on which connection is closed at the limit: the address with the most connections first, then those without progress for a second by phase (closing, idle, header, body). A request for which Keep was called is not closed for others. Progress is sampled four times a second, so that a read gains two atomic loads and no lock. Event 107 reports closed connections once in ten seconds per listener, and event 106 is logged at most 5 times a check outside of stops. Servers without Limits behave as before.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -22,14 +22,18 @@
 	state atomic.Int32
 	// ending is true while the connection is to be closed unless something arrives.
 	ending atomic.Bool
+	usage  usage
 }
 
 // Read reads what the caller has sent.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	c.received.Add(int64(n))
+	received := c.received.Add(int64(n))
 	if n > 0 {
 		c.resume()
+		if c.isHeaderTooLong(received) {
+			return 0, c.rejectHeader()
+		}
 	}
 	if err != nil && !isTimeout(err) {
 		c.ended.Store(true)
@@ -54,6 +58,7 @@
 	if c.closed.Swap(true) {
 		return nil
 	}
+	c.release()
 	if !c.ended.Load() && !(c.isAnswerOnItsWay() && c.awaitDelivery()) {
 		c.logLoss()
 	}
--- a/internal/connection/listener.go
+++ b/internal/connection/listener.go
@@ -27,6 +27,19 @@
 // Accept waits for the next connection. It returns [net.ErrClosed] once the server has stopped and none is
 // left in the queue.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.acceptOne()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.admit(c) {
+			return c, nil
+		}
+	}
+}
+
+// acceptOne waits for the next connection.
+func (l *listener) acceptOne() (*conn, error) {
 	accepted, err := l.AcceptTCP()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		accepted, err = l.acceptQueued()
@@ -39,7 +52,10 @@
 		server:   l.server,
 		accepted: time.Now(),
 	}
-	l.server.add(c)
+	c.usage.phase, c.usage.progressAt = inHeader, c.accepted
+	if address, isTCP := accepted.RemoteAddr().(*net.TCPAddr); isTCP {
+		c.usage.caller = address.AddrPort().Addr().Unmap()
+	}
 	return c, nil
 }
 
--- a/internal/connection/loss.go
+++ b/internal/connection/loss.go
@@ -9,12 +9,19 @@
 	"trefoilline.example/trefoilline/observe"
 )
 
+// maxLossesLogged is how many losses a server with limits logs between two checks of its connections, unless it stops. A
+// crowd of callers may cause thousands.
+const maxLossesLogged = 5
+
 // logLoss logs what a close by this host may cost the caller.
 func (c *conn) logLoss() {
 	received, unread, unsent := c.received.Load(), c.hasUnread(), c.unsentBytes()
 	if received == 0 && !unread && unsent == 0 {
 		return
 	}
+	if c.server.Limits != nil && !c.server.isStopping.Load() && c.server.lossesLogged.Add(1) > maxLossesLogged {
+		return
+	}
 	c.server.Log.Write(observe.ConnectionClosedEarly, zap.String("caller", c.RemoteAddr().String()),
 		zap.Int64("unanswered", received), zap.Bool("unread", unread), zap.Int64("sent", c.sent.Load()),
 		zap.Int("unsent", unsent), zap.Duration("open", time.Since(c.accepted)))
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -18,6 +18,20 @@
 	// HTTP is the server of the connections. Serve sets its ConnState and wraps its Handler.
 	HTTP *http.Server
 	Log  observe.Log
+	// Limits returns the limits in force, and may be called often. At the limit of connections, those that wait for nothing and
+	// those of callers that send nothing are closed for a new one, first those of the caller address that has the most. One
+	// with a request for which [Keep] was called is not closed. If Limits is nil, nothing is limited.
+	Limits func() Limits
+	// Name is the name of the listener in Metrics and in the log. Metrics may be nil.
+	Name    string
+	Metrics *observe.Metrics
+
+	// headerBytes is MaxHeaderBytes of the limits.
+	headerBytes atomic.Int64
+	// lossesLogged is how many losses were logged since the last check of the connections.
+	lossesLogged atomic.Int64
+	closuresMu   sync.Mutex
+	closures     closures
 
 	isStopping, isClosed atomic.Bool
 	// awaited is how many connections wait until their callers have read the last answer.
@@ -29,6 +43,8 @@
 	conns     map[*conn]struct{}
 	// over is closed once no connection is left after a stop. It is nil before the stop.
 	over chan struct{}
+	// fullUntil is the time until which new connections above the limit are refused at once.
+	fullUntil time.Time
 }
 
 // firstRequestTime is how long a server that stops waits for the first request on a connection.
@@ -42,11 +58,15 @@
 		if s.isStopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		withBody(r)
 		handler.ServeHTTP(w, r)
 	})
 	s.HTTP.ConnState = s.updateState
+	s.HTTP.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return withConn(ctx, c.(*conn)) }
 	l := s.listen(tcp)
+	done := s.startSweep()
 	err := s.HTTP.Serve(l)
+	close(done)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isServing = false
@@ -132,6 +152,28 @@
 	return s.HTTP.Close()
 }
 
+// startSweep starts the checks of the connections if there are limits, and returns the channel that ends them.
+func (s *Server) startSweep() chan<- struct{} {
+	done := make(chan struct{})
+	if s.Limits != nil {
+		s.headerBytes.Store(int64(s.Limits().MaxHeaderBytes))
+		go s.sweep(done)
+	}
+	return done
+}
+
+// admit keeps an accepted connection, or closes it if it is above the limit and no other one can be closed for it.
+func (s *Server) admit(c *conn) bool {
+	if s.Limits != nil && !s.makeRoom(c.accepted, 1) {
+		s.count(refused, c.usage.caller)
+		// An error means that the connection is closed.
+		_ = c.TCPConn.Close()
+		return false
+	}
+	s.add(c)
+	return true
+}
+
 // add keeps an accepted connection.
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
@@ -160,8 +202,11 @@
 	case state == http.StateActive:
 		c.resume()
 	case state == http.StateIdle && s.isStopping.Load():
+		c.becomeIdle()
 		// The answer began before the stop and does not say that the connection is closed.
 		c.endIfSilent()
+	case state == http.StateIdle:
+		c.becomeIdle()
 	}
 }
 
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -61,6 +61,21 @@
 		Cause:  "The host closed a caller's connection on which it had received something that it did not answer, or before the caller had its last answer; unanswered is how many bytes it had read since the last that it sent, unread whether there were more, sent how many bytes it had sent in all, unsent how many of them the caller had not received, and open for how long the connection was open. If unread is true, what is unsent does not arrive.",
 		Action: "If it comes at stops, raise --drain-limit or grace-seconds; else report it.",
 	}
+	ConnectionsLimited = Event{
+		Number: 107,
+		Name:   "connections-limited",
+		Level:  zapcore.WarnLevel,
+		Fields: []string{
+			"listener",
+			"open",
+			"limit",
+			"reasons",
+			"caller",
+			"of-caller",
+		},
+		Cause:  "In the last ten seconds the host closed connections of a listener because of its limits. Reasons counts them: closing, idle, header and body were closed for new connections at the limit, by what they waited for; refused were new ones for which no other could be closed; header-bytes and header-time had headers above the limits of the configuration. Caller is the address that lost the most, and of-caller how many.",
+		Action: "If the caller is an ordinary one, raise machine.descriptors and machine.memory-megabytes if the machine has more, or the limits of the configuration; else block its address.",
+	}
 	TableApplied = Event{
 		Number: 200,
 		Name:   "table-in-force",
--- a/observe/list.go
+++ b/observe/list.go
@@ -10,6 +10,7 @@
 		SettingsApplied,
 		SettingsInvalid,
 		ConnectionClosedEarly,
+		ConnectionsLimited,
 		TableApplied,
 		TableUnreadable,
 		KeysApplied,
