Derive limits of connections, headers and memory from the machine and the configuration

Change: each listener of serve has a limit of connections by machine.descriptors and machine.memory-megabytes; the configuration's limits of headers and idle connections take effect, with slack; the Go runtime collects garbage at 0.8 of the memory. A request is kept before a backend server is sought for it, and does not run if its connection was closed before.

--- a/bufferproxy/errors.go
+++ b/bufferproxy/errors.go
@@ -98,3 +98,8 @@
 type MissingCompleteMarkerError struct{}
 
 func (*MissingCompleteMarkerError) Error() string { return "the response is not marked as complete" }
+
+// ConnectionClosedError reports that the connection of a request was closed before a backend server was sought for it.
+type ConnectionClosedError struct{}
+
+func (*ConnectionClosedError) Error() string { return "the caller's connection was closed" }
--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -120,6 +120,9 @@
 	// request is forwarded.
 	FindHost   func(regions [][]string, excluded []string) (OtherHost, bool)
 	HostClient *exchange.Client
+	// Keep is called with a caller's request before a backend server is sought for it. If it returns false, the request is
+	// not run, since its connection was closed meanwhile. It may be nil.
+	Keep func(*http.Request) bool
 	// CrashDetector detects requests that crash backend servers. It may be nil.
 	CrashDetector retry.CrashDetector
 	// Clock returns the current time; nil means [time.Now].
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -59,9 +59,20 @@
 		s.reject(err)
 		return
 	}
+	if !s.keepConnection() {
+		s.respond(&failure{
+			cause: &ConnectionClosedError{},
+		})
+		return
+	}
 	s.respond(s.obtainResult())
 }
 
+// keepConnection reports whether the caller's connection is open, and stays so as far as this host decides it.
+func (s *requestState) keepConnection() bool {
+	return s.handler.Keep == nil || s.handler.Keep(s.callerRequest)
+}
+
 // prepare runs the steps that come before the choice of a backend server. It returns the
 // error of the first step that rejects the request.
 func (s *requestState) prepare() error {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,6 +38,7 @@
 	"trefoilline.example/trefoilline/bufferproxy"
 	"trefoilline.example/trefoilline/crashdetect"
 	"trefoilline.example/trefoilline/exchange"
+	"trefoilline.example/trefoilline/internal/connection"
 	"trefoilline.example/trefoilline/internal/transport"
 	"trefoilline.example/trefoilline/membership"
 	"trefoilline.example/trefoilline/objectstore"
@@ -171,6 +172,7 @@
 		CrashDetector: h.crashDetector,
 		BorrowToken:   h.borrowToken,
 		FindHost:      h.findHost,
+		Keep:          connection.Keep,
 		HostClient: &exchange.Client{
 			Dialect:               &dialect,
 			ReuseForNonIdempotent: true,
--- a/internal/host/reload.go
+++ b/internal/host/reload.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -88,12 +89,13 @@
 	h.log.Write(observe.SettingsApplied, zap.Bool("needs-restart", needsRestart))
 }
 
-// applySettings puts settings in force. It passes the limits among them to the rate limiter
-// and the retry budget, which keep their own copies.
+// applySettings puts settings in force. It passes the limits among them to the rate limiter,
+// the retry budget and the Go runtime, which keep their own copies.
 func (h *host) applySettings(settings Settings) {
 	h.currentSettings.Store(&settings)
 	h.limiter.SetOvershoot(settings.OvershootFraction, settings.OvershootRequests)
 	h.handler.RetryBudget.SetLimits(settings.RetryRatio, settings.RetrySlack)
+	debug.SetMemoryLimit(settings.Machine.runtimeMemoryLimit())
 }
 
 // setLogLevel sets the lowest level that is logged.
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -15,16 +15,14 @@
 	"trefoilline.example/trefoilline/platform"
 )
 
-// Timeouts of the HTTP servers at the host's addresses. Idle connections to other hosts are
-// kept for idleTimeout, too.
+// Limits of the HTTP servers at the host's addresses, above any that [host.limits] returns for the usual configurations. They
+// hold if the checks of the connections are late.
 const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 2 * time.Minute
+	lastHeaderTimeout  = 5 * time.Minute
+	lastIdleTimeout    = time.Hour
+	lastMaxHeaderBytes = 1 << 20
 )
 
-// maxHeaderBytes limits the headers of a request. Callers may send bytes without end.
-const maxHeaderBytes = 256 << 10
-
 // ListenError reports an address that can't be listened on.
 type ListenError struct {
 	Address netip.AddrPort
@@ -80,26 +78,32 @@
 func (h *host) listen() ([]*connection.Server, error) {
 	var servers []*connection.Server
 	for _, s := range []struct {
+		kind    listenerKind
 		address netip.AddrPort
 		handler http.Handler
 	}{
 		{
+			kind:    callerListener,
 			address: h.settings().CallerAddress,
 			handler: h.handler,
 		},
 		{
+			kind:    readyListener,
 			address: h.settings().ReadyAddress,
 			handler: platform.ReadyHandler(h.isReady),
 		},
 		{
+			kind:    lookupListener,
 			address: h.settings().LookupAddress,
 			handler: platform.LookupHandler(h.lookUp),
 		},
 		{
+			kind:    peerListener,
 			address: h.settings().PeerAddress,
 			handler: h.peerMessenger.newHandler(),
 		},
 		{
+			kind:    metricsListener,
 			address: h.settings().MetricsAddress,
 			handler: http.HandlerFunc(h.serveMetrics),
 		},
@@ -118,11 +122,14 @@
 		server := &connection.Server{
 			HTTP: &http.Server{
 				Handler:           s.handler,
-				ReadHeaderTimeout: headerTimeout,
-				IdleTimeout:       idleTimeout,
-				MaxHeaderBytes:    maxHeaderBytes,
+				ReadHeaderTimeout: lastHeaderTimeout,
+				IdleTimeout:       lastIdleTimeout,
+				MaxHeaderBytes:    lastMaxHeaderBytes,
 			},
-			Log: h.log,
+			Log:     h.log,
+			Limits:  func() connection.Limits { return h.limits(s.kind) },
+			Name:    listenerShares[s.kind].name,
+			Metrics: &h.handler.Metrics,
 		}
 		servers = append(servers, server)
 		go h.serve(server, listener)
