--- a/internal/host/reload.go
+++ b/internal/host/reload.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -89,13 +90,14 @@
 }
 
 // applySettings puts settings in force. It passes the limits among them to the rate limiter,
-// the retry budget and the memory budget, which keep their own copies.
+// the retry budget, the memory budget and the Go runtime, which keep their own copies.
 func (h *host) applySettings(settings Settings) {
 	h.currentSettings.Store(&settings)
 	h.limiter.SetOvershoot(settings.OvershootFraction, settings.OvershootRequests)
 	h.handler.RetryBudget.SetLimits(settings.RetryRatio, settings.RetrySlack)
 	h.pool.SetMaxShift(settings.MaxShift)
 	h.handler.Memory.SetLimit(settings.Machine.memoryBudget())
+	debug.SetMemoryLimit(settings.Machine.runtimeMemoryLimit())
 }
 
 // setLogLevel sets the lowest level that is logged.
