Tell requests that servers refused different times to return

Cause: a request that no server ran, because servers refused it or were not reached, was told to return after 100 ms, like all others at that time. Change: it is told the pool's estimate, at least 100 ms, with jitter, and counts as returning then. The new test fails without the change.

Race tests of placement and bufferproxy pass.

--- a/bufferproxy/queue_test.go
+++ b/bufferproxy/queue_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"trefoilline.example/trefoilline/bufferproxy"
 	"trefoilline.example/trefoilline/placement"
 	"trefoilline.example/trefoilline/routing"
 )
@@ -65,3 +67,37 @@
 	require.Equal(t, http.StatusOK, response.StatusCode, body)
 	require.Equal(t, "served", body)
 }
+
+// TestRequestsThatServersRefuseReturnApart guards against requests that servers refuse at the same time and
+// that are told the same time to return, or don't count as returning then.
+func TestRequestsThatServersRefuseReturnApart(t *testing.T) {
+	var isFull atomic.Bool
+	isFull.Store(true)
+	host := newTestHost(t, func(w http.ResponseWriter, r *http.Request) {
+		if isFull.Load() {
+			writeNotRun(w, r, http.StatusServiceUnavailable)
+			return
+		}
+		writeResponse(w, r, "served")
+	})
+	waits := make(map[string]bool)
+	var longest time.Duration
+	for range 10 {
+		response, _ := host.send(host.request(http.MethodPost, "/orders/17", "an order"))
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		value := response.Header.Get("Retry-After")
+		wait, err := time.ParseDuration(value)
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, wait, bufferproxy.DefaultRetryAfter)
+		waits[value] = true
+		longest = max(longest, wait)
+	}
+	require.Greater(t, len(waits), 5)
+	isFull.Store(false)
+	time.Sleep(longest)
+	response, _ := host.send(host.request(http.MethodPost, "/orders/17", "an order"))
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	var text strings.Builder
+	host.handler.Metrics.WriteText(&text)
+	require.Contains(t, text.String(), "return-placed/north")
+}
--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -102,7 +102,7 @@
 	case errors.As(cause, &body):
 		s.respondError(http.StatusBadRequest, 0, cause)
 	default:
-		s.respondError(http.StatusServiceUnavailable, retryAfter(cause), cause)
+		s.respondError(http.StatusServiceUnavailable, s.retryAfter(cause), cause)
 	}
 }
 
@@ -115,17 +115,20 @@
 const maxRetryAfter = 5 * time.Second
 
 // retryAfter returns the value of Retry-After for a request that is rejected with status
-// 503. If no backend server had room, it is the time that the pool promised; otherwise it is
-// [DefaultRetryAfter].
-func retryAfter(cause error) time.Duration {
+// 503. If no backend server had room or ran the request, it is the time that the pool promised;
+// otherwise it is [DefaultRetryAfter].
+func (s *requestState) retryAfter(cause error) time.Duration {
 	var busy *placement.BusyError
+	var notRun *NotRunError
 	switch {
-	case !errors.As(cause, &busy):
-		return DefaultRetryAfter
-	case busy.IsPaused:
+	case errors.As(cause, &busy) && busy.IsPaused:
 		return min(max(busy.RetryAfter, DefaultRetryAfter/2), maxRetryAfter)
+	case errors.As(cause, &busy):
+		return busy.RetryAfter
+	case errors.As(cause, &notRun):
+		return s.handler.Pool.PromiseReturn(s.placementRequest(), DefaultRetryAfter)
 	}
-	return busy.RetryAfter
+	return DefaultRetryAfter
 }
 
 // respondError responds with a status that this host sets itself, and a Retry-After header
--- a/placement/promises.go
+++ b/placement/promises.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// PromiseReturn returns the time after which a request that no server ran may return, at least the
+// given one, and counts the request as one that was told to.
+func (p *Pool) PromiseReturn(request Request, atLeast time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, svc := p.now(), p.service(request.Service)
+	request.ExcludedServers = nil
+	wait := atLeast
+	if candidates := p.candidates(svc, &request, now); len(candidates) > 0 {
+		wait = max(wait, p.estimateWait(svc, &request, request.rank(), candidates, now))
+	}
+	return p.reject(svc, &request, wait, 0, now).RetryAfter
+}
+
 func (p *Pool) random() float64 {
 	if p.Random == nil {
 		return rand.Float64()
