Plan with the demand that may not leave its region

Teams and routes that are bound to regions were not in the demand, so a plan filled their region's slots with requests that any region may serve, and only measured utilization corrected that, which saturated servers hide. Hosts now also report the rates by route of requests that only some regions may serve, among them their own (`bound-demand` in heartbeats and region summaries; none from hosts of the build before). It counts in the load of all regions together, and takes slots of its region first.

The figures of TestPlanServesWaveOfSmallRegion, which has no such demand, are unchanged.

Tests: script/lint; go test -race ./placement ./membership ./bufferproxy ./internal/host ./observe.

--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -132,6 +132,8 @@
 	index      atomic.Pointer[routing.Index]
 	roundRobin weightedRoundRobin
 	routeRates routeRates
+	// boundRouteRates are of requests that only some regions may serve, among them that of this host.
+	boundRouteRates routeRates
 	// responseMemory limits the memory for responses.
 	responseMemory responseMemory
 	running        atomic.Int64
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -208,12 +208,17 @@
 	}
 }
 
-// recordDemand counts the request in the rate of its route, if any region may serve it. Requests that
+// recordDemand counts the request in the rate of its route. Requests that only some regions may serve
+// are counted apart, if this region is one of them. Requests that
 // the rate limit rejects are not counted: they occupy no slots, so no load needs to move for them. The
 // host that forwarded a request has counted it.
 func (s *requestState) recordDemand() error {
-	if !s.isForwarded && !s.isRegionRestricted() {
+	switch {
+	case s.isForwarded:
+	case !s.isRegionRestricted():
 		s.handler.routeRates.record(s.route.Name, s.start)
+	case s.isLocalAllowed():
+		s.handler.boundRouteRates.record(s.route.Name, s.start)
 	}
 	return nil
 }
@@ -268,6 +273,16 @@
 	return len(s.route.Regions) > 0 || s.team != nil && len(s.team.Regions) > 0
 }
 
+// isLocalAllowed reports whether the region of this host may serve the request.
+func (s *requestState) isLocalAllowed() bool {
+	for _, regions := range s.allowedRegions() {
+		if !routing.AllowsRegion(regions, s.handler.Pool.Region) {
+			return false
+		}
+	}
+	return true
+}
+
 // maxQueueFraction is the longest time that a request waits for a slot on a backend
 // server, as a fraction of the route's latency target.
 const maxQueueFraction = 0.5
--- a/bufferproxy/route_rates.go
+++ b/bufferproxy/route_rates.go
@@ -12,8 +12,7 @@
 // slowly than single bursts do.
 const rateWindow = 2 * time.Second
 
-// routeRates measures the rate of requests on each route. It counts only requests
-// that any region may serve.
+// routeRates measures the rate of requests on each route.
 type routeRates struct {
 	mu    sync.Mutex
 	rates map[string]*meter.Rate
@@ -44,11 +43,20 @@
 // out routes with hardly any requests. The host sends the rates to the other hosts, and
 // adds up those of its region to decide how much load goes to other regions.
 func (h *Handler) RouteDemand() map[string]float64 {
-	h.routeRates.mu.Lock()
-	defer h.routeRates.mu.Unlock()
-	now := h.now()
-	perSecond := make(map[string]float64, len(h.routeRates.rates))
-	for route, routeRate := range h.routeRates.rates {
+	return h.routeRates.perSecond(h.now())
+}
+
+// BoundRouteDemand returns the same for requests that only some regions may serve, among them that of
+// this host.
+func (h *Handler) BoundRouteDemand() map[string]float64 {
+	return h.boundRouteRates.perSecond(h.now())
+}
+
+func (r *routeRates) perSecond(now time.Time) map[string]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	perSecond := make(map[string]float64, len(r.rates))
+	for route, routeRate := range r.rates {
 		if current := routeRate.PerSecond(now); current >= minReportedRate {
 			perSecond[route] = current
 		}
--- a/internal/host/region_plans.go
+++ b/internal/host/region_plans.go
@@ -80,12 +80,13 @@
 	}
 	cachedSlotTimes := h.cachedSlotTimes()
 	for region, rates := range h.regionDemand() {
-		for service, demand := range placement.ServiceDemand(h.routeLoadsOf(rates, cachedSlotTimes)) {
+		bound := placement.ServiceDemand(h.routeLoadsOf(rates.bound, cachedSlotTimes))
+		for service, demand := range placement.ServiceDemand(h.routeLoadsOf(rates.anywhere, cachedSlotTimes)) {
 			if reports[service] == nil {
 				continue
 			}
 			report := reports[service][region]
-			report.Demand, report.IsDemandKnown = demand, true
+			report.Demand, report.BoundDemand, report.IsDemandKnown = demand, bound[service], true
 			reports[service][region] = report
 		}
 	}
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -248,7 +248,7 @@
 // routeLoads returns the load that the callers of this region put on each service of each
 // route.
 func (h *host) routeLoads() []placement.RouteLoad {
-	return h.routeLoadsOf(h.regionDemand()[h.settings().Region], h.cachedSlotTimes())
+	return h.routeLoadsOf(h.regionDemand()[h.settings().Region].anywhere, h.cachedSlotTimes())
 }
 
 // routeLoadsOf returns the load on each service of each route from the rates of the requests by
@@ -273,28 +273,47 @@
 	return loads
 }
 
-// regionDemand returns the rate of the requests of each region's callers by route. A region of
-// which nothing was heard is left out.
-func (h *host) regionDemand() map[string]map[string]float64 {
-	demand := make(map[string]map[string]float64)
+// routeDemand is the rate of the requests of a region's callers by route, in requests per second.
+type routeDemand struct {
+	// anywhere are the rates of requests that any region may serve, bound those of requests that
+	// only some regions may serve, among them this one.
+	anywhere, bound map[string]float64
+}
+
+// add adds what a host reports.
+func (d routeDemand) add(anywhere, bound map[string]float64) {
+	for route, rate := range anywhere {
+		d.anywhere[route] += rate
+	}
+	for route, rate := range bound {
+		d.bound[route] += rate
+	}
+}
+
+// regionDemand returns the demand of each region's callers. A region of which nothing was heard is
+// left out.
+func (h *host) regionDemand() map[string]routeDemand {
+	demand := make(map[string]routeDemand)
+	add := func(region string, anywhere, bound map[string]float64) {
+		if _, isKnown := demand[region]; !isKnown {
+			demand[region] = routeDemand{
+				anywhere: make(map[string]float64),
+				bound:    make(map[string]float64),
+			}
+		}
+		demand[region].add(anywhere, bound)
+	}
 	summaries := h.regionSummaries()
 	for region, summary := range summaries {
-		demand[region] = maps.Clone(summary.RouteDemand)
+		add(region, summary.RouteDemand, summary.BoundRouteDemand)
 	}
-	add := func(region string, rates map[string]float64) {
-		if _, isSummarized := summaries[region]; isSummarized {
-			return
-		}
-		if demand[region] == nil {
-			demand[region] = make(map[string]float64)
-		}
-		for route, rate := range rates {
-			demand[region][route] += rate
-		}
+	if _, isSummarized := summaries[h.settings().Region]; !isSummarized {
+		add(h.settings().Region, h.handler.RouteDemand(), h.handler.BoundRouteDemand())
 	}
-	add(h.settings().Region, h.handler.RouteDemand())
 	for _, peer := range h.roster.LivePeers() {
-		add(peer.Region, peer.RouteDemand)
+		if _, isSummarized := summaries[peer.Region]; !isSummarized {
+			add(peer.Region, peer.RouteDemand, peer.BoundRouteDemand)
+		}
 	}
 	return demand
 }
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -45,6 +45,8 @@
 	Region string `json:"region"`
 	// RouteDemand is the sum over the hosts.
 	RouteDemand map[string]float64 `json:"demand,omitempty"`
+	// BoundRouteDemand is the sum over the hosts.
+	BoundRouteDemand map[string]float64 `json:"bound-demand,omitempty"`
 	// CachedSlotTimes is the lowest value of any host.
 	CachedSlotTimes map[string]time.Duration `json:"works,omitempty"`
 	// Utilization is the mean of the hosts.
@@ -86,16 +88,20 @@
 // Summarize combines what the hosts of a region report.
 func Summarize(region string, hosts []Heartbeat) RegionSummary {
 	summary := RegionSummary{
-		Region:          region,
-		RouteDemand:     make(map[string]float64),
-		CachedSlotTimes: make(map[string]time.Duration),
-		Utilization:     make(map[string]float64),
+		Region:           region,
+		RouteDemand:      make(map[string]float64),
+		BoundRouteDemand: make(map[string]float64),
+		CachedSlotTimes:  make(map[string]time.Duration),
+		Utilization:      make(map[string]float64),
 	}
 	reports := make(map[string]float64)
 	for _, hb := range hosts {
 		for route, rate := range hb.RouteDemand {
 			summary.RouteDemand[route] += rate
 		}
+		for route, rate := range hb.BoundRouteDemand {
+			summary.BoundRouteDemand[route] += rate
+		}
 		for route, slotTime := range hb.CachedSlotTimes {
 			if known, isKnown := summary.CachedSlotTimes[route]; !isKnown || slotTime < known {
 				summary.CachedSlotTimes[route] = slotTime
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -76,6 +76,9 @@
 	// RouteDemand is the rate of the requests that the host receives and that any
 	// region may serve, by route, in requests per second.
 	RouteDemand map[string]float64 `json:"demand,omitempty"`
+	// BoundRouteDemand is the same for requests that only some regions may serve, among them that
+	// of the host.
+	BoundRouteDemand map[string]float64 `json:"bound-demand,omitempty"`
 	// CachedSlotTimes is how long a request occupies a slot of a backend server that has
 	// its affinity key cached, by route, as measured by the host.
 	CachedSlotTimes map[string]time.Duration `json:"works,omitempty"`
@@ -98,11 +101,13 @@
 func (hb Heartbeat) ToPartial() Heartbeat {
 	hb.Partial = true
 	hb.TeamDemand, hb.TeamShares, hb.RouteDemand, hb.CachedSlotTimes, hb.Utilization, hb.RemoteShares = nil, nil, nil, nil, nil, nil
+	hb.BoundRouteDemand = nil
 	return hb
 }
 
 // fillFrom copies the fields that a partial heartbeat omits from an earlier heartbeat.
 func (hb *Heartbeat) fillFrom(earlier Heartbeat) {
 	hb.TeamDemand, hb.TeamShares, hb.RouteDemand = earlier.TeamDemand, earlier.TeamShares, earlier.RouteDemand
+	hb.BoundRouteDemand = earlier.BoundRouteDemand
 	hb.CachedSlotTimes, hb.Utilization, hb.RemoteShares = earlier.CachedSlotTimes, earlier.Utilization, earlier.RemoteShares
 }
--- a/membership/roster_test.go
+++ b/membership/roster_test.go
@@ -110,6 +110,9 @@
 	full.TeamDemand = map[string]float64{
 		"north": 7,
 	}
+	full.BoundRouteDemand = map[string]float64{
+		"stock": 3,
+	}
 	full.Utilization = map[string]float64{
 		"catalogue": 0.5,
 	}
@@ -118,9 +121,11 @@
 	partial.Sequence = 2
 	partial.Ready = true
 	require.Nil(t, partial.TeamDemand)
+	require.Nil(t, partial.BoundRouteDemand)
 	r.Receive(partial)
 	got := r.LivePeers()[0]
 	require.True(t, got.Ready)
 	require.Equal(t, full.TeamDemand, got.TeamDemand)
+	require.Equal(t, full.BoundRouteDemand, got.BoundRouteDemand)
 	require.Equal(t, full.Utilization, got.Utilization)
 }
--- a/membership/simulation_test.go
+++ b/membership/simulation_test.go
@@ -134,6 +134,9 @@
 		RouteDemand: map[string]float64{
 			"stock": 2,
 		},
+		BoundRouteDemand: map[string]float64{
+			"stock": 1,
+		},
 		Utilization: map[string]float64{
 			"catalogue": 0.5,
 		},
@@ -308,6 +311,7 @@
 	for _, h := range f.hosts {
 		for _, region := range []string{"accra", "kumasi", "tamale"} {
 			require.InDelta(t, 2*20, h.roster.Regions()[region].RouteDemand["stock"], 1e-9, "%s of %s", h.record.Name, region)
+			require.InDelta(t, 20, h.roster.Regions()[region].BoundRouteDemand["stock"], 1e-9, "%s of %s", h.record.Name, region)
 		}
 	}
 	for _, h := range f.hosts {
--- a/placement/demand_trend.go
+++ b/placement/demand_trend.go
@@ -55,19 +55,19 @@
 	return max(0, t.level+clamp(t.slope*demandLead.Seconds(), -limit, limit))
 }
 
-// nextDemand returns the trends of the regions' demand. A region without a report keeps its
-// level for a time, without a slope.
-func (p RegionPlan) nextDemand(in PlanInput) map[string]demandTrend {
+// nextDemand returns the trends of the regions' demand after the reports. A region without a report
+// keeps its level for a time, without a slope.
+func nextDemand(trends map[string]demandTrend, in PlanInput, demandOf func(RegionReport) float64) map[string]demandTrend {
 	next := make(map[string]demandTrend, len(in.Reports))
 	for region, report := range in.Reports {
-		trend, isKnown := p.demand[region]
+		trend, isKnown := trends[region]
 		switch {
 		case report.IsDemandKnown && isKnown:
-			next[region] = trend.add(report.Demand, in.Elapsed)
+			next[region] = trend.add(demandOf(report), in.Elapsed)
 		case report.IsDemandKnown:
 			next[region] = demandTrend{
-				level: report.Demand,
-				mean:  report.Demand,
+				level: demandOf(report),
+				mean:  demandOf(report),
 			}
 		case isKnown && trend.age < retainDemandTime:
 			trend.slope = 0
--- a/placement/region_plan.go
+++ b/placement/region_plan.go
@@ -45,6 +45,8 @@
 	// their affinity keys are cached. It is zero if IsDemandKnown is false.
 	Demand        float64
 	IsDemandKnown bool
+	// BoundDemand is the same of requests that may not leave the region.
+	BoundDemand float64
 }
 
 // RegionReports is what is known of one service, by region.
@@ -68,6 +70,8 @@
 	IsPlanned bool
 
 	demand map[string]demandTrend
+	// bound is the demand that may not leave its region.
+	bound map[string]demandTrend
 }
 
 // PlanInput is what the next plan of a service follows from.
@@ -90,7 +94,8 @@
 // its slope are known earlier than the queues that they cause.
 func (p RegionPlan) Next(in PlanInput) RegionPlan {
 	next := p
-	next.demand = p.nextDemand(in)
+	next.demand = nextDemand(p.demand, in, func(r RegionReport) float64 { return r.Demand })
+	next.bound = nextDemand(p.bound, in, func(r RegionReport) float64 { return r.BoundDemand })
 	reactive := RemoteShares{in.Service: p.RemoteShare}.NextShare(in.Service, in.Region, in.Utilization, in.Elapsed)
 	loads, isKnown := next.predictedLoads(in.Reports)
 	if !isKnown {
@@ -109,17 +114,17 @@
 	return next
 }
 
-// Demand returns the expected demand by region, in slots.
+// Demand returns the expected demand by region, in slots. It includes what may not leave its region.
 func (p RegionPlan) Demand() map[string]float64 {
 	demand := make(map[string]float64, len(p.demand))
 	for region, trend := range p.demand {
-		demand[region] = trend.predicted()
+		demand[region] = trend.predicted() + p.bound[region].predicted()
 	}
 	return demand
 }
 
-// regionLoad is the capacity and the expected demand of a region, in slots.
-type regionLoad struct{ slots, demand, meanDemand float64 }
+// regionLoad is the capacity and the demand of a region, in slots: as expected, and its long-run mean.
+type regionLoad struct{ slots, demand, meanDemand, bound, meanBound float64 }
 
 // predictedLoads returns the expected load by region. It reports false if the plan can't be
 // computed: no demand is known, or there are no slots.
@@ -131,6 +136,8 @@
 			slots:      report.Slots,
 			demand:     p.demand[region].predicted(),
 			meanDemand: p.demand[region].mean,
+			bound:      p.bound[region].predicted(),
+			meanBound:  p.bound[region].mean,
 		}
 		loads[region] = load
 		slots += load.slots
@@ -153,13 +160,13 @@
 	total := regionLoad{}
 	for _, l := range loads {
 		total.slots += l.slots
-		total.demand += l.demand
-		total.meanDemand += l.meanDemand
+		total.demand += l.demand + l.bound
+		total.meanDemand += l.meanDemand + l.meanBound
 	}
 	level := max(overloadThreshold, total.meanDemand/total.slots)
-	persistent := func(l regionLoad) float64 { return excessFraction(l.meanDemand, level*l.slots) }
+	persistent := func(l regionLoad) float64 { return excessFraction(l.meanDemand, level*l.slots-l.meanBound) }
 	own := loads[region]
-	load := own.demand
+	load := own.demand + own.bound
 	for name, l := range loads {
 		if name != region {
 			load += persistent(l) * l.demand * destinationWeights(name, loads, total)[region]
@@ -183,7 +190,7 @@
 		if name == region || l.slots == 0 {
 			continue
 		}
-		relative := l.meanDemand / max(l.slots*total.meanDemand/total.slots, math.SmallestNonzeroFloat64)
+		relative := (l.meanDemand + l.meanBound) / max(l.slots*total.meanDemand/total.slots, math.SmallestNonzeroFloat64)
 		weights[name] = l.slots * clamp(2-relative, minWeight, 1)
 		sum += weights[name]
 	}
@@ -195,16 +202,16 @@
 
 // excessFraction returns the fraction of the demand that exceeds the capacity.
 func excessFraction(demand, capacity float64) float64 {
-	if demand <= capacity {
+	if demand <= capacity || demand == 0 {
 		return 0
 	}
-	return 1 - capacity/demand
+	return 1 - max(0, capacity)/demand
 }
 
 // stepShare moves the remote share toward the wanted one by no more than the limit, which is a
 // fraction of the requests that are served: up at once, down slowly.
 func (p RegionPlan) stepShare(wanted, limit float64, own regionLoad, in PlanInput) float64 {
-	utilization := max(in.Utilization[in.Region], own.demand*(1-p.RemoteShare)/max(own.slots, 1))
+	utilization := max(in.Utilization[in.Region], (own.bound+own.demand*(1-p.RemoteShare))/max(own.slots, 1))
 	step := limit / max(1, servedShareDerivative(p.RemoteShare, utilization))
 	if wanted > p.RemoteShare {
 		return max(p.RemoteShare, min(wanted-shareTolerance, p.RemoteShare+step))
--- a/placement/region_plan_test.go
+++ b/placement/region_plan_test.go
@@ -309,3 +309,37 @@
 	require.Equal(t, wanted, placement.LimitLocalShares(nil, wanted, loads, limit), "no share is in force")
 	require.Equal(t, wanted, placement.LimitLocalShares(inForce, wanted, nil, limit), "there are no requests")
 }
+
+// TestPlanLeavesRoomForDemandThatMayNotLeave guards against a plan that takes all slots of a region for
+// requests that any region may serve, while some teams are bound to the region.
+func TestPlanLeavesRoomForDemandThatMayNotLeave(t *testing.T) {
+	share := func(bound float64) float64 {
+		var plan placement.RegionPlan
+		for range 200 {
+			plan = plan.Next(placement.PlanInput{
+				Service: modelService,
+				Region:  "accra",
+				Reports: placement.RegionReports{
+					"accra": {
+						Slots:         100,
+						Demand:        100,
+						BoundDemand:   bound,
+						IsDemandKnown: true,
+					},
+					"kumasi": {
+						Slots:         450,
+						Demand:        200,
+						IsDemandKnown: true,
+					},
+				},
+				Elapsed:  modelUpdate,
+				MaxShift: testMaxShift,
+			})
+		}
+		return plan.RemoteShare
+	}
+	// The region serves its demand up to 0.65 of its slots, what is bound first.
+	require.InDelta(t, 1-65.0/100, share(0), 0.05)
+	require.InDelta(t, 1-25.0/100, share(40), 0.05)
+	require.InDelta(t, 1, share(90), 0.05)
+}
