--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -139,6 +139,8 @@
 	roundRobin weightedRoundRobin
 	routeRates routeRates
 	callerLoad callerLoad
+	// boundRouteRates are of requests that only some regions may serve, among them that of this host.
+	boundRouteRates routeRates
 	// uploadSlots are the uploads that occupy slots on backend servers.
 	uploadSlots uploadSlots
 	memoryLog   memoryLog
