Wait for the answer of an idle connection until the caller's system has it

Cause, traced: unread bytes in the caller's system are not lost, but 61 KB were still unsent (SIOCOUTQ) when the connection was closed, and Close did wait for their delivery. 250 ms after the stop began, endSilent ended the reads of all connections that are not active, and with them that wait. A connection of which the caller's system has acknowledged all delivers its answer on Linux also after a reset (TestAnswerThatTheCallerHasNotReadSurvivesItsNextRequest, which passed before too).

Change: connections that are being closed are left alone by the stop. Besides, a connection is not ended while a request lies unread in the system: the HTTP server would not read it after the deadline.

--- a/internal/connection/conn.go
+++ b/internal/connection/conn.go
@@ -81,9 +81,11 @@
 func (c *conn) isIn(state http.ConnState) bool { return http.ConnState(c.state.Load()) == state }
 
 // endIfSilent lets the HTTP server close the connection if nothing has arrived since the last answer. What
-// arrives before the server has closed it is read and answered.
+// arrives before the server has closed it is read and answered. A connection that Close has begun to close stays open until
+// its caller has the last answer.
 func (c *conn) endIfSilent() {
-	if c.received.Load() > 0 {
+	// A read that begins after its deadline returns nothing, although the system may hold a request.
+	if c.closed.Load() || c.received.Load() > 0 || c.hasUnread() {
 		return
 	}
 	c.ending.Store(true)
--- /dev/null
+++ b/internal/connection/conn_test.go
@@ -0,0 +1,36 @@
+package connection
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRequestThatArrivedBeforeItsConnectionEndsIsRead guards against requests that a busy host has not read yet when it closes
+// unused connections, and that it would leave unread.
+func TestRequestThatArrivedBeforeItsConnectionEndsIsRead(t *testing.T) {
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{
+		IP: net.IPv4(127, 0, 0, 1),
+	})
+	require.NoError(t, err)
+	defer tcp.Close()
+	s := &Server{}
+	l := s.listen(tcp)
+	caller, err := net.DialTCP("tcp", nil, tcp.Addr().(*net.TCPAddr))
+	require.NoError(t, err)
+	defer caller.Close()
+	accepted, err := l.Accept()
+	require.NoError(t, err)
+	c := accepted.(*conn)
+	_, err = io.WriteString(caller, "GET")
+	require.NoError(t, err)
+	require.Eventually(t, c.hasUnread, time.Minute, time.Millisecond)
+	s.StopAccepting()
+	s.endSilent()
+	n, err := c.Read(make([]byte, 8))
+	require.NoError(t, err)
+	require.Equal(t, 3, n)
+}
--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -283,3 +283,54 @@
 	require.NoError(t, err)
 	require.EqualValues(t, len(answer), n)
 }
+
+// TestSlowReaderOfAnIdleConnectionGetsItsAnswer guards against answers that break off because a wait for their delivery ends
+// when the server closes unused connections, a moment after the stop began. The caller reads on only after that moment.
+func TestSlowReaderOfAnIdleConnectionGetsItsAnswer(t *testing.T) {
+	for name, behind := range map[string]string{
+		"nothing behind":   "",
+		"a request behind": request,
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer := longAnswer[:256<<10]
+			s := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) })
+			caller := s.connect()
+			_, err := io.WriteString(caller, request)
+			require.NoError(t, err)
+			response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			require.NoError(t, err)
+			require.Equal(t, 1, s.stop(time.Second))
+			_, err = io.WriteString(caller, behind)
+			require.NoError(t, err)
+			n, err := io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+			require.EqualValues(t, len(answer), n)
+			// The caller keeps the connection open.
+			ctx, cancel := context.WithTimeout(t.Context(), deliveryTimeout/2)
+			defer cancel()
+			require.Zero(t, s.Wait(ctx))
+			require.Empty(t, s.logs.All())
+		})
+	}
+}
+
+// deliveryTimeout is how long a server waits for a caller that does not close its connection.
+const deliveryTimeout = 10 * time.Second
+
+// TestAnswerThatTheCallerHasNotReadSurvivesItsNextRequest guards against answers that the caller's system has received when
+// an idle connection is closed, and that a reset drops before the caller has read them.
+func TestAnswerThatTheCallerHasNotReadSurvivesItsNextRequest(t *testing.T) {
+	answer := longAnswer[:32<<10]
+	s := serve(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(answer) })
+	caller := s.connect()
+	_, err := io.WriteString(caller, request)
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	require.NoError(t, err)
+	require.Zero(t, s.stop(deliveryTimeout/2))
+	_, err = io.WriteString(caller, request)
+	require.NoError(t, err)
+	n, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	require.EqualValues(t, len(answer), n)
+}
