Recover a host's part of the rates from other hosts while the store is away

Cause: the store failed right after a host's record stated its part and a list confirmed it, before the others had read that record. No copy had it, nobody else had a part to lend, and the host was not ready until the store was back.

Change: heartbeats carry the part that a host may use and the version of its record; each host remembers what it heard. A host that starts again while its copy of the records is failing asks all hosts that may be running. It uses the remembered part if all of them answered, also those that only another one knows, none knows a later version of its record, and the parts in use add up to no more than the whole. It asks again every 4 s, and stops using the part 10 s after the last complete answers. If the store then has no record of it, it claims anew; it never states more than the record that it replaces. A record that says that its host has stopped is not removed while the host is heard.

Not covered: a host whose record says that it has stopped, or one beside a lost host, gets no part of its own before the store is back; it serves what others lend.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -84,6 +84,8 @@
 	joined atomic.Uint64
 	// part is this host's part of the teams' rates.
 	part ratePart
+	// partStatements holds what the other hosts said of their parts.
+	partStatements quota.PartStatements
 	// recordDue holds an element if this host's record may need a change soon.
 	recordDue chan struct{}
 	// divisionDue holds an element if this host's part may have changed.
--- a/internal/host/parts.go
+++ b/internal/host/parts.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"trefoilline.example/trefoilline/membership"
+	"trefoilline.example/trefoilline/objectstore"
 	"trefoilline.example/trefoilline/observe"
 	"trefoilline.example/trefoilline/quota"
 )
@@ -22,23 +23,109 @@
 	// isResumed is true if an earlier process of this host had the part, so that the others
 	// count this host already.
 	isResumed bool
+	// version is that of the record that states the part, zero if that is not known.
+	version objectstore.Version
+	// isRecovered is true while the part is one that other hosts remember, which they said last at validAt. isStored is true
+	// once the store has answered this process about its record.
+	isRecovered, isStored bool
+	validAt               time.Time
 }
 
 // usable returns the part that this host may use, and whether it is the one that it should have.
 func (p *ratePart) usable(target quota.TargetPart) (part int, isSettled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.isRecovered && time.Since(p.validAt) > recoveredPartTime {
+		return 0, false
+	}
 	return p.claim.Usable(target), p.claim.IsSettled(target)
 }
 
-// setStated sets the part that this host's record states.
-func (p *ratePart) setStated(part int) {
+// statement returns the part that this host may use with the version of its record; zero if there is none.
+func (p *ratePart) statement() quota.PartStatement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.version == 0 || p.claim.Granted() == 0 {
+		return quota.PartStatement{}
+	}
+	return quota.PartStatement{
+		Part:    p.claim.Granted(),
+		Version: uint64(p.version),
+	}
+}
+
+// granted returns the part that this host may use at most.
+func (p *ratePart) granted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claim.Granted()
+}
+
+// needsRecovery reports whether this process has no part that its record is known to state, and the store has not answered.
+func (p *ratePart) needsRecovery() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.isStored && (p.isRecovered || p.claim.Granted() == 0)
+}
+
+// recover sets the part that other hosts remember, or notes that they still do. It returns true if the part is a new one, and does
+// nothing if this host knows a later record.
+func (p *ratePart) recover(remembered quota.PartStatement) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.isStored || uint64(p.version) > remembered.Version:
+		return false
+	case p.isRecovered && uint64(p.version) == remembered.Version:
+		p.validAt = time.Now()
+		return false
+	case p.claim.Granted() > 0:
+		return false
+	}
+	p.validAt = time.Now()
+	p.claim = quota.PartClaim{}
+	p.claim.Resume(remembered.Part, nil)
+	p.version = objectstore.Version(remembered.Version)
+	p.isKnown, p.isResumed, p.isRecovered = true, true, true
+	return true
+}
+
+// settle notes that the store has answered this process. If it has no record of this host, others may use what was recovered.
+func (p *ratePart) settle(hasRecord bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isRecovered && !hasRecord {
+		p.claim = quota.PartClaim{}
+	}
+	p.isRecovered, p.isStored = false, true
+}
+
+// limitRecovered returns the part that a new record may state, given what the one that it replaces states.
+func (p *ratePart) limitRecovered(part, before int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.isRecovered {
+		return min(part, before)
+	}
+	return part
+}
+
+// setStated sets the part that this host's record of a version states.
+func (p *ratePart) setStated(part int, version objectstore.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isKnown = true
+	p.version = version
 	p.claim.SetStated(part)
 }
 
+// isOlder reports whether a record is older than the one that states the part.
+func (p *ratePart) isOlder(version objectstore.Version) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return version < p.version
+}
+
 // setKnown notes that this process writes a record of its own.
 func (p *ratePart) setKnown() {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/host/parts_test.go
@@ -0,0 +1,71 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/quota"
+)
+
+// recoveredPart returns the part of a host that has recovered the half of the rates, as others remember it.
+func recoveredPart(t *testing.T) *ratePart {
+	p := &ratePart{}
+	require.True(t, p.needsRecovery())
+	require.True(t, p.recover(quota.PartStatement{
+		Part:    quota.WholePart / 2,
+		Version: 7,
+	}))
+	return p
+}
+
+// wholeTarget lets a host use all that it may.
+var wholeTarget = quota.TargetPart{
+	High: quota.WholePart,
+}
+
+// TestRecoveredPartEndsWithoutTheOthers guards against a host that uses a part which it recovered, while another that can't be asked
+// any longer removes its record and uses the same part.
+func TestRecoveredPartEndsWithoutTheOthers(t *testing.T) {
+	p := recoveredPart(t)
+	part, _ := p.usable(wholeTarget)
+	require.Equal(t, quota.WholePart/2, part)
+	require.True(t, p.needsRecovery(), "it asks again")
+	p.validAt = time.Now().Add(-recoveredPartTime)
+	part, _ = p.usable(wholeTarget)
+	require.Zero(t, part)
+	require.False(t, p.recover(p.statement()), "the part is not a new one")
+	part, _ = p.usable(wholeTarget)
+	require.Equal(t, quota.WholePart/2, part)
+}
+
+// TestRecoveredPartYieldsToTheStore guards against a host that goes on to use a recovered part, or states it in its record, although the
+// store has no record of the host or one that states less.
+func TestRecoveredPartYieldsToTheStore(t *testing.T) {
+	p := recoveredPart(t)
+	require.Equal(t, 10, p.limitRecovered(p.stated(), 10))
+	p.settle(false)
+	p.setStated(quota.WholePart/2, 9)
+	part, _ := p.usable(wholeTarget)
+	require.Zero(t, part, "a list must confirm it first")
+	require.False(t, p.needsRecovery())
+
+	p = recoveredPart(t)
+	p.settle(true)
+	p.setStated(10, 9)
+	part, _ = p.usable(wholeTarget)
+	require.Equal(t, 10, part)
+}
+
+// TestLaterRecordIsNotReplacedByARecoveredPart guards against a host that recovers a part although it knows a later record.
+func TestLaterRecordIsNotReplacedByARecoveredPart(t *testing.T) {
+	p := &ratePart{}
+	p.setStated(10, 8)
+	require.False(t, p.recover(quota.PartStatement{
+		Part:    quota.WholePart / 2,
+		Version: 7,
+	}))
+	require.True(t, p.isOlder(7))
+	require.False(t, p.isOlder(8))
+}
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -78,6 +78,7 @@
 	mux.HandleFunc("GET "+copyPath, p.handleCopyRequest)
 	mux.HandleFunc("POST "+tokenPath, p.handleTokenRequest)
 	mux.HandleFunc("POST "+loanPath, p.handleLoanRequest)
+	mux.HandleFunc("GET "+partPath, p.handlePartRequest)
 	return mux
 }
 
@@ -90,6 +91,7 @@
 	}
 	isUrgent := p.host.roster.NeedsEarlyDigest(heartbeat)
 	if p.host.roster.Receive(heartbeat) {
+		p.host.partStatements.Note(heartbeat.Name, heartbeat.Incarnation, heartbeat.RatePart)
 		p.host.addCrashReports(heartbeat.CrashReports)
 		p.host.addServerLimits(heartbeat.ServerLimits)
 		p.host.addLeavingServers(heartbeat.LeavingServers, heartbeat.Name)
@@ -276,6 +278,7 @@
 		Draining:        h.draining.Load(),
 		CutOff:          h.pool.IsCutOff(),
 		StoreVersions:   h.storeVersions(),
+		RatePart:        h.part.statement(),
 		TeamDemand:      h.limiter.Demand(),
 		TeamShares:      h.limiter.Shares(),
 		RouteDemand:     h.handler.RouteDemand(),
--- a/internal/host/record_writer.go
+++ b/internal/host/record_writer.go
@@ -96,10 +96,12 @@
 	}
 	// If the outcome is not known, what is then found in the store is not left by an earlier process.
 	w.host.part.setKnown()
+	hasRecord := w.version != 0
 	if err := w.write(ctx, own); err != nil {
 		return false, err
 	}
-	w.host.part.setStated(own.Part)
+	w.host.part.settle(hasRecord)
+	w.host.part.setStated(own.Part, w.version)
 	return true, nil
 }
 
@@ -135,7 +137,7 @@
 		if w.version != 0 && time.Since(w.writtenAt) > recordCheckInterval {
 			w.stored, w.version = storedRecord{}, 0
 		}
-	case records.ownVersion > w.version:
+	case records.ownVersion > w.version && !w.host.part.isOlder(records.ownVersion):
 		w.take(records.own, records.ownVersion)
 	}
 }
@@ -144,14 +146,14 @@
 func (w *recordWriter) take(stored storedRecord, version objectstore.Version) {
 	w.stored, w.version = stored, version
 	w.rewrites = max(w.rewrites, stored.Rewrites)
-	if !stored.Stopped && !w.host.resumePart(stored) {
-		w.host.part.setStated(stored.Part)
+	if !stored.Stopped && !w.host.resumePart(stored, version) {
+		w.host.part.setStated(stored.Part, version)
 	}
 }
 
 // resumePart lets this host use the part that a record of an earlier process states. It returns false
 // and does nothing if it was called before, or this process has written a record.
-func (h *host) resumePart(stored storedRecord) bool {
+func (h *host) resumePart(stored storedRecord, version objectstore.Version) bool {
 	if h.part.isOfThisProcess() {
 		return false
 	}
@@ -170,7 +172,7 @@
 		return false
 	}
 	h.part.claim.Resume(part, states)
-	h.part.isKnown, h.part.isResumed = true, part > 0
+	h.part.isKnown, h.part.isResumed, h.part.version = true, part > 0, version
 	h.updateDivisionSoon()
 	return true
 }
@@ -205,13 +207,18 @@
 	if !w.host.part.isOfThisProcess() {
 		own.Part = before.Part
 	}
+	own.Part = w.host.part.limitRecovered(own.Part, before.Part)
 	err := w.write(ctx, own)
 	switch {
 	case err == nil:
-		w.host.resumePart(own)
+		w.host.part.settle(true)
+		if !w.host.resumePart(own, w.version) {
+			w.host.part.setStated(own.Part, w.version)
+		}
 	case isRemoved(err) && w.version == 0:
 		w.host.joined.CompareAndSwap(before.Joined, w.host.incarnation)
-		w.host.part.setStated(0)
+		w.host.part.settle(false)
+		w.host.part.setStated(0, 0)
 	}
 	return err
 }
@@ -255,6 +262,7 @@
 	var notFound *objectstore.NotFoundError
 	if errors.As(err, &notFound) {
 		w.stored, w.version = storedRecord{}, 0
+		w.host.part.settle(false)
 		return nil
 	}
 	if err != nil {
@@ -266,6 +274,7 @@
 		w.stored, w.version = storedRecord{}, found.Version
 		return err
 	}
+	w.host.part.settle(true)
 	w.take(stored, found.Version)
 	return nil
 }
--- a/internal/host/records.go
+++ b/internal/host/records.go
@@ -148,7 +148,7 @@
 	}
 	h.roster.SetRecords(running)
 	if records.own.Name != "" && !records.own.Stopped {
-		h.resumePart(records.own)
+		h.resumePart(records.own, records.ownVersion)
 	}
 	h.hostsLoaded.Store(true)
 	h.checkRecordSoon()
@@ -184,6 +184,10 @@
 		if !known.record.Stopped || name == h.settings().Host || time.Now().Before(known.removeAt) {
 			continue
 		}
+		// A host that has started again and reaches no store can't write that it runs, and may use its part.
+		if peer, isHeard := h.roster.RecentPeer(name); isHeard && !peer.Draining {
+			continue
+		}
 		err := h.store.Delete(ctx, hostRecordPrefix+name, objectstore.IfVersion{
 			Version: known.version,
 		})
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -69,6 +69,9 @@
 	Partial bool `json:"brief,omitempty"`
 	// Holders is the hash of the hosts among which the host counts the teams' rates as divided.
 	Holders uint64 `json:"holders,omitempty"`
+	// RatePart is the part of the teams' rates that the host may use, with the version of the record that states it. Its part
+	// is zero if it may use none.
+	RatePart quota.PartStatement `json:"rate-part,omitzero"`
 	// TeamDemand is the rate of requests that the host receives, by team.
 	TeamDemand quota.Demand `json:"asked,omitempty"`
 	// TeamShares is the host's fraction of each team's rate.
--- a/observe/list.go
+++ b/observe/list.go
@@ -43,6 +43,7 @@
 		TokenRequestFailed,
 		LoanRequestFailed,
 		RatePartChanged,
+		RatePartRecovered,
 		RequestRejected,
 		RequestOutcomeUnknown,
 		ResponseIncomplete,
--- a/quota/part_claim.go
+++ b/quota/part_claim.go
@@ -158,6 +158,9 @@
 // Stated returns the part that this host's record states.
 func (p *PartClaim) Stated() int { return p.stated }
 
+// Granted returns the part that this host may use at most.
+func (p *PartClaim) Granted() int { return p.granted }
+
 // Confirm lets this host use the part that its record states, given what all records stated at some
 // time after this host wrote its own, if they add up to no more than the whole. It reports whether
 // they do.
