--- a/observe/list.go
+++ b/observe/list.go
@@ -45,6 +45,7 @@
 		LoanRequestFailed,
 		RatePartChanged,
 		CallerHostsSelected,
+		RatePartRecovered,
 		RequestRejected,
 		RequestOutcomeUnknown,
 		ResponseIncomplete,
