--- a/bufferproxy/half_close_test.go
+++ b/bufferproxy/half_close_test.go
@@ -45,7 +45,10 @@
 func TestCallerThatEndsItsSendingIsToldThatItDidNotRun(t *testing.T) {
 	received, ended := make(chan struct{}), make(chan struct{})
 	host := newTestHost(t, func(w http.ResponseWriter, r *http.Request) {
-		received <- struct{}{}
+		select {
+		case received <- struct{}{}:
+		case <-ended:
+		}
 		<-ended
 		respondOK(w, r)
 	})
--- a/internal/connection/connection_test.go
+++ b/internal/connection/connection_test.go
@@ -172,6 +172,9 @@
 // TestCloseWithoutAnswerIsLogged guards against requests that are dropped without a trace in the log.
 func TestCloseWithoutAnswerIsLogged(t *testing.T) {
 	s := serve(t, answerOK)
+	// A stop before the server has started to serve closes the listener with its queue.
+	first := s.connect()
+	s.ask(first, bufio.NewReader(first))
 	caller := s.connect()
 	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\n")
 	require.NoError(t, err)
