Test the limits of listeners, the choice of closed connections and the part of the rates from outside their packages

The tests of the new decisions were in the packages that they test; the decisions are now exported from these internal packages.

--- a/internal/connection/eviction.go
+++ b/internal/connection/eviction.go
@@ -8,38 +8,38 @@
 	"time"
 )
 
-// phase is what a connection waits for. Those with lower phases are closed first, since their callers lose less.
-type phase int
+// Phase is what a connection waits for. Those with lower phases are closed first, since their callers lose less.
+type Phase int
 
 const (
-	// closing is the phase of a connection whose last answer has arrived, and that waits until its caller closes it.
-	closing phase = iota
-	// idle connections wait for the next request.
-	idle
-	// inHeader is the phase from the first byte, or from the opening of the connection, until the header is complete.
-	inHeader
-	// inBody is the phase of a request whose body is being read, and for which no backend server is sought yet.
-	inBody
-	// serving connections are not closed for others: their requests may run, or answers are on their way.
-	serving
+	// Closing is the phase of a connection whose last answer has arrived, and that waits until its caller closes it.
+	Closing Phase = iota
+	// Idle connections wait for the next request.
+	Idle
+	// InHeader is the phase from the first byte, or from the opening of the connection, until the header is complete.
+	InHeader
+	// InBody is the phase of a request whose body is being read, and for which no backend server is sought yet.
+	InBody
+	// Serving connections are not closed for others: their requests may run, or answers are on their way.
+	Serving
 )
 
-// quietTime is how long a connection must have made no progress so that it is closed before those that have. It
+// QuietTime is how long a connection must have made no progress so that it is closed before those that have. It
 // spares the connections that callers are using while a crowd opens others.
-const quietTime = time.Second
+const QuietTime = time.Second
 
-// candidate is a connection that may be closed for another one.
-type candidate struct {
-	caller netip.Addr
-	phase  phase
-	// progressAt is when the phase began, or for a body when the last bytes arrived.
-	progressAt time.Time
+// Candidate is a connection that may be closed for another one.
+type Candidate struct {
+	Caller netip.Addr
+	Phase  Phase
+	// ProgressAt is when the phase began, or for a body when the last bytes arrived.
+	ProgressAt time.Time
 }
 
-// selectEvicted returns the indexes of up to count candidates that are to be closed. The caller address with the most
-// connections comes first, and among its connections those without progress for quietTime, by phase and then by the time
+// SelectEvicted returns the indexes of up to count candidates that are to be closed. The caller address with the most
+// connections comes first, and among its connections those without progress for [QuietTime], by phase and then by the time
 // of their progress. The others follow by time, with bodies that arrive at the end.
-func selectEvicted(now time.Time, candidates []candidate, count int) []int {
+func SelectEvicted(now time.Time, candidates []Candidate, count int) []int {
 	groups := &groupHeap{
 		now:        now,
 		candidates: candidates,
@@ -72,7 +72,7 @@
 // groupHeap is a heap of groups by which loses its next connection first.
 type groupHeap struct {
 	now        time.Time
-	candidates []candidate
+	candidates []Candidate
 	groups     []group
 }
 
@@ -95,18 +95,18 @@
 }
 
 // groupByCaller returns the connections of each caller address that has some that may be closed.
-func groupByCaller(now time.Time, candidates []candidate) []group {
+func groupByCaller(now time.Time, candidates []Candidate) []group {
 	indexes := make(map[netip.Addr]int)
 	var groups []group
 	for i, c := range candidates {
-		g, isKnown := indexes[c.caller]
+		g, isKnown := indexes[c.Caller]
 		if !isKnown {
 			g = len(groups)
-			indexes[c.caller] = g
+			indexes[c.Caller] = g
 			groups = append(groups, group{})
 		}
 		groups[g].size++
-		if c.phase != serving {
+		if c.Phase != Serving {
 			groups[g].evictable = append(groups[g].evictable, i)
 		}
 	}
@@ -117,20 +117,20 @@
 }
 
 // compareCandidates returns a negative number if the first candidate is closed before the second.
-func compareCandidates(now time.Time, a, b candidate) int {
+func compareCandidates(now time.Time, a, b Candidate) int {
 	if order := cmp.Compare(a.rank(now), b.rank(now)); order != 0 {
 		return order
 	}
-	return a.progressAt.Compare(b.progressAt)
+	return a.ProgressAt.Compare(b.ProgressAt)
 }
 
-// rank returns the phase of a candidate that has made no progress for quietTime, and a larger number for others.
-func (c candidate) rank(now time.Time) int {
+// rank returns the phase of a candidate that has made no progress for [QuietTime], and a larger number for others.
+func (c Candidate) rank(now time.Time) int {
 	switch {
-	case now.Sub(c.progressAt) >= quietTime:
-		return int(c.phase)
-	case c.phase == inBody:
-		return int(serving) + 1
+	case now.Sub(c.ProgressAt) >= QuietTime:
+		return int(c.Phase)
+	case c.Phase == InBody:
+		return int(Serving) + 1
 	}
-	return int(serving)
+	return int(Serving)
 }
--- a/internal/connection/limits.go
+++ b/internal/connection/limits.go
@@ -24,7 +24,7 @@
 
 const (
 	// refused is the reason of connections for which no other one could be closed.
-	refused = reason(serving) + iota
+	refused = reason(Serving) + iota
 	headerTooLong
 	headerTooSlow
 	reasonCount
@@ -32,10 +32,10 @@
 
 // reasonNames are the names of the reasons in metrics and in the log.
 var reasonNames = [reasonCount]string{
-	closing:       "closing",
-	idle:          "idle",
-	inHeader:      "header",
-	inBody:        "body",
+	Closing:       "closing",
+	Idle:          "idle",
+	InHeader:      "header",
+	InBody:        "body",
 	refused:       "refused",
 	headerTooLong: "header-bytes",
 	headerTooSlow: "header-time",
--- a/internal/connection/listener.go
+++ b/internal/connection/listener.go
@@ -52,7 +52,7 @@
 		server:   l.server,
 		accepted: time.Now(),
 	}
-	c.usage.phase, c.usage.progressAt = inHeader, c.accepted
+	c.usage.phase, c.usage.progressAt = InHeader, c.accepted
 	if address, isTCP := accepted.RemoteAddr().(*net.TCPAddr); isTCP {
 		c.usage.caller = address.AddrPort().Addr().Unmap()
 	}
--- a/internal/connection/phase.go
+++ b/internal/connection/phase.go
@@ -34,7 +34,7 @@
 
 	// The fields below are guarded by Server.mu. phase, received and progressAt are those of the last check, see
 	// conn.update.
-	phase      phase
+	phase      Phase
 	received   int64
 	progressAt time.Time
 }
@@ -88,31 +88,31 @@
 	c.release()
 	c.usage.headerStart.Store(c.received.Load())
 	// The next check may find the connection idle again after another request.
-	c.usage.phase, c.usage.progressAt = idle, time.Now()
+	c.usage.phase, c.usage.progressAt = Idle, time.Now()
 }
 
 // currentPhase returns the phase of the connection.
-func (c *conn) currentPhase() phase {
+func (c *conn) currentPhase() Phase {
 	switch state := http.ConnState(c.state.Load()); {
 	case c.usage.claim.Load() != unclaimed:
-		return serving
+		return Serving
 	case c.closed.Load():
-		return closing
+		return Closing
 	case state == http.StateIdle && c.received.Load() == c.usage.headerStart.Load():
-		return idle
+		return Idle
 	case state == http.StateIdle || state == http.StateNew:
-		return inHeader
+		return InHeader
 	case c.usage.inBody.Load():
-		return inBody
+		return InBody
 	}
-	return serving
+	return Serving
 }
 
 // update notes the phase and the progress of the connection since the last check. Checks come at intervals instead of
 // with each read, whose cost they would add to. The server's lock must be held.
 func (c *conn) update(now time.Time) {
 	p, received := c.currentPhase(), c.received.Load()
-	if p != c.usage.phase || p == inBody && received != c.usage.received {
+	if p != c.usage.phase || p == InBody && received != c.usage.received {
 		c.usage.progressAt = now
 	}
 	c.usage.phase, c.usage.received = p, received
--- a/internal/connection/sweep.go
+++ b/internal/connection/sweep.go
@@ -14,9 +14,9 @@
 	sweepInterval = 250 * time.Millisecond
 	// reportInterval is the time between two log lines about closed connections.
 	reportInterval = 10 * time.Second
-	// evictedFraction is the part of the limit that is closed at once, one in so many, since each choice looks at all
+	// EvictedFraction is the part of the limit that is closed at once, one in so many, since each choice looks at all
 	// connections.
-	evictedFraction = 32
+	EvictedFraction = 32
 	// maxCountedCallers is how many caller addresses are counted for a log line.
 	maxCountedCallers = 64
 	// fullPause is how long new connections are refused at once after none could be closed for one, since each attempt looks
@@ -72,9 +72,9 @@
 		c.update(now)
 		age := now.Sub(c.usage.progressAt)
 		switch {
-		case c.usage.phase == inHeader && limits.HeaderTimeout > 0 && age > limits.HeaderTimeout:
+		case c.usage.phase == InHeader && limits.HeaderTimeout > 0 && age > limits.HeaderTimeout:
 			slow = append(slow, c)
-		case c.usage.phase == idle && limits.IdleTimeout > 0 && age > limits.IdleTimeout:
+		case c.usage.phase == Idle && limits.IdleTimeout > 0 && age > limits.IdleTimeout:
 			c.endIfSilent()
 		}
 	}
@@ -101,10 +101,10 @@
 	s.mu.Unlock()
 	excess := open + added - limit
 	closedCount := 0
-	for _, i := range selectEvicted(now, candidates, max(excess, limit/evictedFraction)) {
+	for _, i := range SelectEvicted(now, candidates, max(excess, limit/EvictedFraction)) {
 		if conns[i].evict() {
 			closedCount++
-			s.count(reason(candidates[i].phase), candidates[i].caller)
+			s.count(reason(candidates[i].Phase), candidates[i].Caller)
 		}
 	}
 	if closedCount < excess {
@@ -117,21 +117,21 @@
 }
 
 // candidates returns all connections. The server's lock must be held.
-func (s *Server) candidates(now time.Time) ([]*conn, []candidate) {
+func (s *Server) candidates(now time.Time) ([]*conn, []Candidate) {
 	conns := make([]*conn, 0, len(s.conns))
-	candidates := make([]candidate, 0, len(s.conns))
+	candidates := make([]Candidate, 0, len(s.conns))
 	for c := range s.conns {
 		c.update(now)
 		p := c.usage.phase
-		if (p == closing || p == idle) && c.unsentBytes() > 0 {
+		if (p == Closing || p == Idle) && c.unsentBytes() > 0 {
 			// The caller is still reading its last answer.
-			p = serving
+			p = Serving
 		}
 		conns = append(conns, c)
-		candidates = append(candidates, candidate{
-			caller:     c.usage.caller,
-			phase:      p,
-			progressAt: c.usage.progressAt,
+		candidates = append(candidates, Candidate{
+			Caller:     c.usage.caller,
+			Phase:      p,
+			ProgressAt: c.usage.progressAt,
 		})
 	}
 	return conns, candidates
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -84,7 +84,7 @@
 	// or a new one.
 	joined atomic.Uint64
 	// part is this host's part of the teams' rates.
-	part ratePart
+	part RatePart
 	// partStatements holds what the other hosts said of their parts.
 	partStatements quota.PartStatements
 	// recordDue holds an element if this host's record may need a change soon.
--- a/internal/host/listener_limits.go
+++ b/internal/host/listener_limits.go
@@ -7,15 +7,16 @@
 	"trefoilline.example/trefoilline/routing"
 )
 
-// listenerKind is what a listener of the host serves.
-type listenerKind int
+// ListenerKind is what a listener of the host serves.
+type ListenerKind int
 
+// The listeners of a host.
 const (
-	callerListener listenerKind = iota
-	readyListener
-	lookupListener
-	peerListener
-	metricsListener
+	CallerListener ListenerKind = iota
+	ReadyListener
+	LookupListener
+	PeerListener
+	MetricsListener
 )
 
 // The limits of a listener's connections. A host has several listeners, so that callers can't exhaust the capacity for the
@@ -34,35 +35,35 @@
 // and the store. At 4,100 descriptors and 184 MB, the least of any host, they allow 1,247 connections of callers, 233 of lookups
 // and 233 of other hosts; a relay of a region in a fleet of 650 hosts has about 220 of these.
 var listenerShares = [...]listenerShare{
-	callerListener: {
+	CallerListener: {
 		name:        "callers",
 		fallback:    4096,
 		descriptors: 2,
 		memory:      3,
 		least:       32,
 	},
-	readyListener: {
+	ReadyListener: {
 		name:        "ready",
 		fallback:    64,
 		descriptors: 64,
 		memory:      64,
 		least:       16,
 	},
-	lookupListener: {
+	LookupListener: {
 		name:        "look-ups",
 		fallback:    512,
 		descriptors: 16,
 		memory:      16,
 		least:       16,
 	},
-	peerListener: {
+	PeerListener: {
 		name:        "peers",
 		fallback:    1024,
 		descriptors: 16,
 		memory:      16,
 		least:       16,
 	},
-	metricsListener: {
+	MetricsListener: {
 		name:        "metrics",
 		fallback:    64,
 		descriptors: 64,
@@ -119,16 +120,16 @@
 // the configuration allows callers.
 const leastInternalHeaderBytes = 24 << 10
 
-// limitsFor returns the limits of a listener on a machine, with the configured limits of callers. Those of the configuration are
+// LimitsFor returns the limits of a listener on a machine, with the configured limits of callers. Those of the configuration are
 // zero while it is not known. The times of callers are not applied to other hosts, unless they are longer.
-func limitsFor(kind listenerKind, m Machine, configured routing.Limits) connection.Limits {
+func LimitsFor(kind ListenerKind, m Machine, configured routing.Limits) connection.Limits {
 	limits := connection.Limits{
 		MaxConnections: listenerShares[kind].maxConnections(m),
 		MaxHeaderBytes: maxHeaderBytes,
 		HeaderTimeout:  headerTimeout,
 		IdleTimeout:    idleTimeout,
 	}
-	isCallers := kind == callerListener
+	isCallers := kind == CallerListener
 	if configured.MaxHeaderBytes > 0 {
 		limits.MaxHeaderBytes = configured.MaxHeaderBytes + headerSlackBytes
 	}
@@ -145,10 +146,10 @@
 }
 
 // limits returns the limits of a listener that are in force.
-func (h *host) limits(kind listenerKind) connection.Limits {
+func (h *host) limits(kind ListenerKind) connection.Limits {
 	var configured routing.Limits
 	if index := h.handler.Configuration(); index != nil {
 		configured = index.Limits
 	}
-	return limitsFor(kind, h.settings().Machine, configured)
+	return LimitsFor(kind, h.settings().Machine, configured)
 }
--- a/internal/host/listener_limits_test.go
+++ b/internal/host/listener_limits_test.go
@@ -1,14 +1,30 @@
-package host
+package host_test
 
 import (
+	"runtime/debug"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"trefoilline.example/trefoilline/internal/host"
 	"trefoilline.example/trefoilline/routing"
 )
 
+// listeners are those of a host.
+var listeners = []host.ListenerKind{
+	host.CallerListener,
+	host.ReadyListener,
+	host.LookupListener,
+	host.PeerListener,
+	host.MetricsListener,
+}
+
+// maxConnections returns how many connections of a listener may be open on a machine.
+func maxConnections(kind host.ListenerKind, m host.Machine) int {
+	return host.LimitsFor(kind, m, routing.Limits{}).MaxConnections
+}
+
 var exampleLimits = routing.Limits{
 	MaxHeaderBytes: 16384,
 	MaxBodyBytes:   64 << 20,
@@ -20,12 +36,12 @@
 // other hosts and the store need: a quarter of them, on the smallest and the largest machine.
 func TestConnectionsLeaveDescriptorsForServers(t *testing.T) {
 	for _, descriptors := range []int{4100, 12300} {
-		m := Machine{
+		m := host.Machine{
 			Descriptors: descriptors,
 		}
-		sum := reservedDescriptors
-		for _, share := range listenerShares {
-			sum += share.maxConnections(m)
+		sum := 200 // for files
+		for _, kind := range listeners {
+			sum += maxConnections(kind, m)
 		}
 		require.Less(t, sum, descriptors*3/4)
 	}
@@ -35,38 +51,37 @@
 func TestConnectionsFitIntoMemory(t *testing.T) {
 	for _, megabytes := range []float64{184, 804} {
 		sum := 0
-		for _, share := range listenerShares {
-			sum += share.maxConnections(Machine{
+		for _, kind := range listeners {
+			sum += maxConnections(kind, host.Machine{
 				MemoryMegabytes: megabytes,
 			})
 		}
-		require.Less(t, float64(sum*connectionBytes), megabytes*megabyte/2)
+		require.Less(t, float64(sum*48<<10), megabytes*1e6/2)
 	}
 }
 
 // TestNarrowestFigureOfTheMachineCounts guards against a limit that ignores one of the figures, or a machine that is not known.
 func TestNarrowestFigureOfTheMachineCounts(t *testing.T) {
-	callers := listenerShares[callerListener]
-	require.Equal(t, 4096, callers.maxConnections(Machine{}))
-	require.Equal(t, 1950, callers.maxConnections(Machine{
+	require.Equal(t, 4096, maxConnections(host.CallerListener, host.Machine{}))
+	require.Equal(t, 1950, maxConnections(host.CallerListener, host.Machine{
 		Descriptors: 4100,
 	}))
-	require.Equal(t, 1247, callers.maxConnections(Machine{
+	require.Equal(t, 1247, maxConnections(host.CallerListener, host.Machine{
 		Descriptors:     4100,
 		MemoryMegabytes: 184,
 	}))
-	require.Equal(t, 1950, callers.maxConnections(Machine{
+	require.Equal(t, 1950, maxConnections(host.CallerListener, host.Machine{
 		Descriptors:     4100,
 		MemoryMegabytes: 804,
 	}))
-	require.Equal(t, 32, callers.maxConnections(Machine{
+	require.Equal(t, 32, maxConnections(host.CallerListener, host.Machine{
 		Descriptors: 100,
 	}))
 }
 
 // TestPeersOfARelayFitIntoTheirLimit guards against a relay that closes the connections of hosts of its region: 220 of 650.
 func TestPeersOfARelayFitIntoTheirLimit(t *testing.T) {
-	require.GreaterOrEqual(t, listenerShares[peerListener].maxConnections(Machine{
+	require.GreaterOrEqual(t, maxConnections(host.PeerListener, host.Machine{
 		Descriptors:     4100,
 		MemoryMegabytes: 184,
 	}), 220)
@@ -75,7 +90,7 @@
 // TestCallersWithinTheConfiguredLimitsAreNotAffected guards against limits that are as narrow as those of the configuration, or that
 // hold for other hosts too.
 func TestCallersWithinTheConfiguredLimitsAreNotAffected(t *testing.T) {
-	callers := limitsFor(callerListener, Machine{}, exampleLimits)
+	callers := host.LimitsFor(host.CallerListener, host.Machine{}, exampleLimits)
 	require.Greater(t, callers.MaxHeaderBytes, exampleLimits.MaxHeaderBytes)
 	require.Greater(t, callers.HeaderTimeout, exampleLimits.HeaderTimeout)
 	require.Greater(t, callers.IdleTimeout, exampleLimits.IdleTimeout)
@@ -84,26 +99,26 @@
 		HeaderTimeout:  time.Millisecond,
 		IdleTimeout:    time.Millisecond,
 	}
-	peers := limitsFor(peerListener, Machine{}, narrow)
-	require.GreaterOrEqual(t, peers.MaxHeaderBytes, leastInternalHeaderBytes)
-	require.Equal(t, headerTimeout, peers.HeaderTimeout)
-	require.Equal(t, idleTimeout, peers.IdleTimeout)
-	require.Less(t, limitsFor(callerListener, Machine{}, narrow).IdleTimeout, idleTimeout)
+	peers := host.LimitsFor(host.PeerListener, host.Machine{}, narrow)
+	require.GreaterOrEqual(t, peers.MaxHeaderBytes, 24<<10)
+	require.Equal(t, 5*time.Second, peers.HeaderTimeout)
+	require.Equal(t, 2*time.Minute, peers.IdleTimeout)
+	require.Less(t, host.LimitsFor(host.CallerListener, host.Machine{}, narrow).IdleTimeout, 2*time.Minute)
 }
 
 // TestLimitsBeforeTheConfigurationIsKnown guards against listeners without limits while the store does not answer.
 func TestLimitsBeforeTheConfigurationIsKnown(t *testing.T) {
-	limits := limitsFor(callerListener, Machine{}, routing.Limits{})
-	require.Equal(t, maxHeaderBytes, limits.MaxHeaderBytes)
-	require.Equal(t, headerTimeout, limits.HeaderTimeout)
-	require.Equal(t, idleTimeout, limits.IdleTimeout)
+	limits := host.LimitsFor(host.CallerListener, host.Machine{}, routing.Limits{})
+	require.Equal(t, 256<<10, limits.MaxHeaderBytes)
+	require.Equal(t, 5*time.Second, limits.HeaderTimeout)
+	require.Equal(t, 2*time.Minute, limits.IdleTimeout)
 }
 
 // TestRuntimeMemoryLimitFollowsTheMachine guards against a runtime that lets garbage grow above the memory of the machine, and
 // against a limit for machines that are not known.
 func TestRuntimeMemoryLimitFollowsTheMachine(t *testing.T) {
-	require.EqualValues(t, 147_200_000, Machine{
+	require.EqualValues(t, 147_200_000, host.Machine{
 		MemoryMegabytes: 184,
-	}.runtimeMemoryLimit())
-	require.Equal(t, initialMemoryLimit, Machine{}.runtimeMemoryLimit())
+	}.RuntimeMemoryLimit())
+	require.Equal(t, debug.SetMemoryLimit(-1), host.Machine{}.RuntimeMemoryLimit())
 }
--- a/internal/host/memory.go
+++ b/internal/host/memory.go
@@ -9,8 +9,8 @@
 	bytesPerMegabyte = 1_000_000
 )
 
-// memoryBudget returns the limit of the memory budget in bytes; zero, for the default, if the machine's memory is not known.
-func (m Machine) memoryBudget() int64 {
+// MemoryBudget returns the limit of the memory budget in bytes; zero, for the default, if the machine's memory is not known.
+func (m Machine) MemoryBudget() int64 {
 	if m.MemoryMegabytes == 0 {
 		return 0
 	}
--- a/internal/host/memory_limit.go
+++ b/internal/host/memory_limit.go
@@ -9,8 +9,8 @@
 // initialMemoryLimit is the memory limit of the Go runtime at the start, which GOMEMLIMIT sets.
 var initialMemoryLimit = debug.SetMemoryLimit(-1)
 
-// runtimeMemoryLimit returns the memory limit of the Go runtime in bytes.
-func (m Machine) runtimeMemoryLimit() int64 {
+// RuntimeMemoryLimit returns the memory limit of the Go runtime in bytes.
+func (m Machine) RuntimeMemoryLimit() int64 {
 	if m.MemoryMegabytes <= 0 {
 		return initialMemoryLimit
 	}
--- a/internal/host/memory_test.go
+++ b/internal/host/memory_test.go
@@ -1,29 +1,24 @@
-package host
+package host_test
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"trefoilline.example/trefoilline/memorybudget"
-	"trefoilline.example/trefoilline/observe"
+	"trefoilline.example/trefoilline/internal/host"
 )
 
-// TestMemoryBudgetFollowsTheSettings guards against a budget that ignores the size of the machine, or a change of it. It is in the package
-// since the budget of a process can't be seen from outside before the process serves.
-func TestMemoryBudgetFollowsTheSettings(t *testing.T) {
-	settings := Settings{}
-	settings.Machine.MemoryMegabytes = 184
-	h := newHost(settings, observe.Log{})
-	limit := func() int64 { return h.handler.Memory.Usage().Limit }
-	require.Equal(t, int64(46_000_000), limit())
-	settings.Machine.MemoryMegabytes = 804
-	h.reload(settings)
-	require.Equal(t, int64(201_000_000), limit())
-	settings.Machine.MemoryMegabytes = 20
-	h.reload(settings)
-	require.Equal(t, int64(minMemoryBudget), limit())
-	settings.Machine.MemoryMegabytes = 0
-	h.reload(settings)
-	require.Equal(t, int64(memorybudget.DefaultLimit), limit())
+// TestMemoryBudgetFollowsTheMachine guards against a budget that ignores the size of the machine, or is too small for the largest
+// response.
+func TestMemoryBudgetFollowsTheMachine(t *testing.T) {
+	for megabytes, budget := range map[float64]int64{
+		184: 46_000_000,
+		804: 201_000_000,
+		20:  12 << 20,
+		0:   0,
+	} {
+		require.Equal(t, budget, host.Machine{
+			MemoryMegabytes: megabytes,
+		}.MemoryBudget(), "%v MB", megabytes)
+	}
 }
--- a/internal/host/part_recovery.go
+++ b/internal/host/part_recovery.go
@@ -27,9 +27,9 @@
 	minPartRecoveryInterval = 200 * time.Millisecond
 	maxPartRecoveryInterval = 4 * time.Second
 	partRecoveryTimeout     = 400 * time.Millisecond
-	// recoveredPartTime is how long a part is used after all hosts remembered it last. A host that can't be asked any longer may
+	// RecoveredPartTime is how long a part is used after all hosts remembered it last. A host that can't be asked any longer may
 	// remove the record of one that it has not heard from for [stoppedRecordTime], and use its part.
-	recoveredPartTime = stoppedRecordTime / 2
+	RecoveredPartTime = stoppedRecordTime / 2
 )
 
 // recoverPart asks the other hosts, after a restart while the store does not respond, for the part that an earlier process of this
@@ -40,7 +40,7 @@
 		return
 	}
 	sleep(ctx, partRecoveryDelay)
-	for interval := minPartRecoveryInterval; ctx.Err() == nil && h.part.needsRecovery(); interval = min(2*interval, maxPartRecoveryInterval) {
+	for interval := minPartRecoveryInterval; ctx.Err() == nil && h.part.NeedsRecovery(); interval = min(2*interval, maxPartRecoveryInterval) {
 		members := h.members()
 		isHolder := slices.Contains(h.holders(members), h.settings().Host)
 		if isHolder && h.followers[hostRecordPrefix].IsFailing() {
@@ -56,7 +56,7 @@
 	members := h.runningMembers()
 	answers := h.peerMessenger.requestParts(ctx, members)
 	recovered, isRecovered := quota.RecoverPart(h.settings().Host, names(members), answers)
-	if !isRecovered || !h.part.recover(recovered) {
+	if !isRecovered || !h.part.Recover(recovered) {
 		return
 	}
 	h.log.Write(observe.RatePartRecovered, zap.Int("part", recovered.Part), zap.Uint64("version", recovered.Version),
--- a/internal/host/parts.go
+++ b/internal/host/parts.go
@@ -13,8 +13,11 @@
 	"trefoilline.example/trefoilline/quota"
 )
 
-// ratePart is this host's part of the teams' rates.
-type ratePart struct {
+// RatePart is this host's part of the teams' rates. The zero value has none. It is safe for concurrent use.
+type RatePart struct {
+	// Clock returns the current time; [time.Now] if nil.
+	Clock func() time.Time
+
 	mu    sync.Mutex
 	claim quota.PartClaim
 	// isKnown is true once this process has resumed the part of an earlier one, or written a record
@@ -31,18 +34,18 @@
 	validAt               time.Time
 }
 
-// usable returns the part that this host may use, and whether it is the one that it should have.
-func (p *ratePart) usable(target quota.TargetPart) (part int, isSettled bool) {
+// Usable returns the part that this host may use, and whether it is the one that it should have.
+func (p *RatePart) Usable(target quota.TargetPart) (part int, isSettled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isRecovered && time.Since(p.validAt) > recoveredPartTime {
+	if p.isRecovered && p.now().Sub(p.validAt) > RecoveredPartTime {
 		return 0, false
 	}
 	return p.claim.Usable(target), p.claim.IsSettled(target)
 }
 
-// statement returns the part that this host may use with the version of its record; zero if there is none.
-func (p *ratePart) statement() quota.PartStatement {
+// Statement returns the part that this host may use with the version of its record; zero if there is none.
+func (p *RatePart) Statement() quota.PartStatement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.version == 0 || p.claim.Granted() == 0 {
@@ -54,35 +57,42 @@
 	}
 }
 
+func (p *RatePart) now() time.Time {
+	if p.Clock == nil {
+		return time.Now()
+	}
+	return p.Clock()
+}
+
 // granted returns the part that this host may use at most.
-func (p *ratePart) granted() int {
+func (p *RatePart) granted() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.claim.Granted()
 }
 
-// needsRecovery reports whether this process has no part that its record is known to state, and the store has not answered.
-func (p *ratePart) needsRecovery() bool {
+// NeedsRecovery reports whether this process has no part that its record is known to state, and the store has not answered.
+func (p *RatePart) NeedsRecovery() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return !p.isStored && (p.isRecovered || p.claim.Granted() == 0)
 }
 
-// recover sets the part that other hosts remember, or notes that they still do. It returns true if the part is a new one, and does
+// Recover sets the part that other hosts remember, or notes that they still do. It returns true if the part is a new one, and does
 // nothing if this host knows a later record.
-func (p *ratePart) recover(remembered quota.PartStatement) bool {
+func (p *RatePart) Recover(remembered quota.PartStatement) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case p.isStored || uint64(p.version) > remembered.Version:
 		return false
 	case p.isRecovered && uint64(p.version) == remembered.Version:
-		p.validAt = time.Now()
+		p.validAt = p.now()
 		return false
 	case p.claim.Granted() > 0:
 		return false
 	}
-	p.validAt = time.Now()
+	p.validAt = p.now()
 	p.claim = quota.PartClaim{}
 	p.claim.Resume(remembered.Part, nil)
 	p.version = objectstore.Version(remembered.Version)
@@ -90,8 +100,8 @@
 	return true
 }
 
-// settle notes that the store has answered this process. If it has no record of this host, others may use what was recovered.
-func (p *ratePart) settle(hasRecord bool) {
+// Settle notes that the store has answered this process. If it has no record of this host, others may use what was recovered.
+func (p *RatePart) Settle(hasRecord bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isRecovered && !hasRecord {
@@ -100,8 +110,8 @@
 	p.isRecovered, p.isStored = false, true
 }
 
-// limitRecovered returns the part that a new record may state, given what the one that it replaces states.
-func (p *ratePart) limitRecovered(part, before int) int {
+// LimitRecovered returns the part that a new record may state, given what the one that it replaces states.
+func (p *RatePart) LimitRecovered(part, before int) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.isRecovered {
@@ -110,8 +120,8 @@
 	return part
 }
 
-// setStated sets the part that this host's record of a version states.
-func (p *ratePart) setStated(part int, version objectstore.Version) {
+// SetStated sets the part that this host's record of a version states.
+func (p *RatePart) SetStated(part int, version objectstore.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isKnown = true
@@ -119,22 +129,22 @@
 	p.claim.SetStated(part)
 }
 
-// isOlder reports whether a record is older than the one that states the part.
-func (p *ratePart) isOlder(version objectstore.Version) bool {
+// IsOlder reports whether a record is older than the one that states the part.
+func (p *RatePart) IsOlder(version objectstore.Version) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return version < p.version
 }
 
-// setKnown notes that this process writes a record of its own.
-func (p *ratePart) setKnown() {
+// SetKnown notes that this process writes a record of its own.
+func (p *RatePart) SetKnown() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isKnown = true
 }
 
-// isOfThisProcess reports whether the stated part is not only that of an earlier process.
-func (p *ratePart) isOfThisProcess() bool {
+// IsOfThisProcess reports whether the stated part is not only that of an earlier process.
+func (p *RatePart) IsOfThisProcess() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.isKnown
@@ -164,7 +174,7 @@
 	division.Holders = h.holders(members)
 	states := h.memberStates(members, division.Holders)
 	target := h.targetPart(states)
-	part, isSettled := h.part.usable(target)
+	part, isSettled := h.part.Usable(target)
 	division.Part = float64(part) / quota.WholePart
 	division.IsAgreed = isSettled && h.isCountedBy(states, division.Hash())
 	h.limiter.SetDivision(division)
@@ -219,7 +229,7 @@
 			IsHolder: slices.Contains(holders, m.Name),
 		}
 		if m.Name == h.settings().Host {
-			state.State, state.Stated = quota.MemberActive, h.part.stated()
+			state.State, state.Stated = quota.MemberActive, h.part.Stated()
 		}
 		if known.record.isOfEarlierBuild() {
 			// It does not follow the same rules, and uses the same part whatever the others do.
@@ -244,8 +254,8 @@
 	return quota.MemberUnknown
 }
 
-// stated returns the part that this host's record states.
-func (p *ratePart) stated() int {
+// Stated returns the part that this host's record states.
+func (p *RatePart) Stated() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.claim.Stated()
@@ -302,7 +312,7 @@
 func (h *host) logPart(part int, target quota.TargetPart, states []quota.Member) {
 	current := partLog{
 		part:   part,
-		stated: h.part.stated(),
+		stated: h.part.Stated(),
 		target: target,
 	}
 	if current == h.lastPartLog {
--- a/internal/host/parts_test.go
+++ b/internal/host/parts_test.go
@@ -1,4 +1,4 @@
-package host
+package host_test
 
 import (
 	"testing"
@@ -6,14 +6,15 @@
 
 	"github.com/stretchr/testify/require"
 
+	"trefoilline.example/trefoilline/internal/host"
 	"trefoilline.example/trefoilline/quota"
 )
 
 // recoveredPart returns the part of a host that has recovered the half of the rates, as others remember it.
-func recoveredPart(t *testing.T) *ratePart {
-	p := &ratePart{}
-	require.True(t, p.needsRecovery())
-	require.True(t, p.recover(quota.PartStatement{
+func recoveredPart(t *testing.T) *host.RatePart {
+	p := &host.RatePart{}
+	require.True(t, p.NeedsRecovery())
+	require.True(t, p.Recover(quota.PartStatement{
 		Part:    quota.WholePart / 2,
 		Version: 7,
 	}))
@@ -29,14 +30,15 @@
 // any longer removes its record and uses the same part.
 func TestRecoveredPartEndsWithoutTheOthers(t *testing.T) {
 	p := recoveredPart(t)
-	part, _ := p.usable(wholeTarget)
+	part, _ := p.Usable(wholeTarget)
 	require.Equal(t, quota.WholePart/2, part)
-	require.True(t, p.needsRecovery(), "it asks again")
-	p.validAt = time.Now().Add(-recoveredPartTime)
-	part, _ = p.usable(wholeTarget)
+	require.True(t, p.NeedsRecovery(), "it asks again")
+	later := time.Now().Add(host.RecoveredPartTime + time.Second)
+	p.Clock = func() time.Time { return later }
+	part, _ = p.Usable(wholeTarget)
 	require.Zero(t, part)
-	require.False(t, p.recover(p.statement()), "the part is not a new one")
-	part, _ = p.usable(wholeTarget)
+	require.False(t, p.Recover(p.Statement()), "the part is not a new one")
+	part, _ = p.Usable(wholeTarget)
 	require.Equal(t, quota.WholePart/2, part)
 }
 
@@ -44,28 +46,28 @@
 // store has no record of the host or one that states less.
 func TestRecoveredPartYieldsToTheStore(t *testing.T) {
 	p := recoveredPart(t)
-	require.Equal(t, 10, p.limitRecovered(p.stated(), 10))
-	p.settle(false)
-	p.setStated(quota.WholePart/2, 9)
-	part, _ := p.usable(wholeTarget)
+	require.Equal(t, 10, p.LimitRecovered(p.Stated(), 10))
+	p.Settle(false)
+	p.SetStated(quota.WholePart/2, 9)
+	part, _ := p.Usable(wholeTarget)
 	require.Zero(t, part, "a list must confirm it first")
-	require.False(t, p.needsRecovery())
+	require.False(t, p.NeedsRecovery())
 
 	p = recoveredPart(t)
-	p.settle(true)
-	p.setStated(10, 9)
-	part, _ = p.usable(wholeTarget)
+	p.Settle(true)
+	p.SetStated(10, 9)
+	part, _ = p.Usable(wholeTarget)
 	require.Equal(t, 10, part)
 }
 
 // TestLaterRecordIsNotReplacedByARecoveredPart guards against a host that recovers a part although it knows a later record.
 func TestLaterRecordIsNotReplacedByARecoveredPart(t *testing.T) {
-	p := &ratePart{}
-	p.setStated(10, 8)
-	require.False(t, p.recover(quota.PartStatement{
+	p := &host.RatePart{}
+	p.SetStated(10, 8)
+	require.False(t, p.Recover(quota.PartStatement{
 		Part:    quota.WholePart / 2,
 		Version: 7,
 	}))
-	require.True(t, p.isOlder(7))
-	require.False(t, p.isOlder(8))
+	require.True(t, p.IsOlder(7))
+	require.False(t, p.IsOlder(8))
 }
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -278,7 +278,7 @@
 		Draining:         h.draining.Load(),
 		CutOff:           h.pool.IsCutOff(),
 		StoreVersions:    h.storeVersions(),
-		RatePart:         h.part.statement(),
+		RatePart:         h.part.Statement(),
 		TeamDemand:       h.limiter.Demand(),
 		TeamShares:       h.limiter.Shares(),
 		CallerLoad:       h.callerLoad(),
--- a/internal/host/record_writer.go
+++ b/internal/host/record_writer.go
@@ -95,13 +95,13 @@
 		own.Holders = hashHolders(members, w.host.holders(members))
 	}
 	// If the outcome is not known, what is then found in the store is not left by an earlier process.
-	w.host.part.setKnown()
+	w.host.part.SetKnown()
 	hasRecord := w.version != 0
 	if err := w.write(ctx, own); err != nil {
 		return false, err
 	}
-	w.host.part.settle(hasRecord)
-	w.host.part.setStated(own.Part, w.version)
+	w.host.part.Settle(hasRecord)
+	w.host.part.SetStated(own.Part, w.version)
 	return true, nil
 }
 
@@ -110,7 +110,7 @@
 	return storedRecord{
 		HostRecord: w.host.record(),
 		StatesPart: true,
-		Part:       w.host.part.stated(),
+		Part:       w.host.part.Stated(),
 		Rewrites:   w.rewrites,
 	}
 }
@@ -137,7 +137,7 @@
 		if w.version != 0 && time.Since(w.writtenAt) > recordCheckInterval {
 			w.stored, w.version = storedRecord{}, 0
 		}
-	case records.ownVersion > w.version && !w.host.part.isOlder(records.ownVersion):
+	case records.ownVersion > w.version && !w.host.part.IsOlder(records.ownVersion):
 		w.take(records.own, records.ownVersion)
 	}
 }
@@ -147,14 +147,14 @@
 	w.stored, w.version = stored, version
 	w.rewrites = max(w.rewrites, stored.Rewrites)
 	if !stored.Stopped && !w.host.resumePart(stored, version) {
-		w.host.part.setStated(stored.Part, version)
+		w.host.part.SetStated(stored.Part, version)
 	}
 }
 
 // resumePart lets this host use the part that a record of an earlier process states. It returns false
 // and does nothing if it was called before, or this process has written a record.
 func (h *host) resumePart(stored storedRecord, version objectstore.Version) bool {
-	if h.part.isOfThisProcess() {
+	if h.part.IsOfThisProcess() {
 		return false
 	}
 	members := h.members()
@@ -204,21 +204,21 @@
 	before := w.stored
 	own := w.record()
 	own.Holders, own.StatesPart = before.Holders, before.StatesPart
-	if !w.host.part.isOfThisProcess() {
+	if !w.host.part.IsOfThisProcess() {
 		own.Part = before.Part
 	}
-	own.Part = w.host.part.limitRecovered(own.Part, before.Part)
+	own.Part = w.host.part.LimitRecovered(own.Part, before.Part)
 	err := w.write(ctx, own)
 	switch {
 	case err == nil:
-		w.host.part.settle(true)
+		w.host.part.Settle(true)
 		if !w.host.resumePart(own, w.version) {
-			w.host.part.setStated(own.Part, w.version)
+			w.host.part.SetStated(own.Part, w.version)
 		}
 	case isRemoved(err) && w.version == 0:
 		w.host.joined.CompareAndSwap(before.Joined, w.host.incarnation)
-		w.host.part.settle(false)
-		w.host.part.setStated(0, 0)
+		w.host.part.Settle(false)
+		w.host.part.SetStated(0, 0)
 	}
 	return err
 }
@@ -262,7 +262,7 @@
 	var notFound *objectstore.NotFoundError
 	if errors.As(err, &notFound) {
 		w.stored, w.version = storedRecord{}, 0
-		w.host.part.settle(false)
+		w.host.part.Settle(false)
 		return nil
 	}
 	if err != nil {
@@ -274,7 +274,7 @@
 		w.stored, w.version = storedRecord{}, found.Version
 		return err
 	}
-	w.host.part.settle(true)
+	w.host.part.Settle(true)
 	w.take(stored, found.Version)
 	return nil
 }
@@ -339,7 +339,7 @@
 	own.Stopped = true
 	if records := h.records.Load(); records != nil {
 		own.Holders, own.Rewrites = records.own.Holders, records.own.Rewrites
-		if !h.part.isOfThisProcess() {
+		if !h.part.IsOfThisProcess() {
 			own.StatesPart, own.Part = records.own.StatesPart, records.own.Part
 		}
 	}
--- a/internal/host/reload.go
+++ b/internal/host/reload.go
@@ -96,8 +96,8 @@
 	h.limiter.SetOvershoot(settings.OvershootFraction, settings.OvershootRequests)
 	h.handler.RetryBudget.SetLimits(settings.RetryRatio, settings.RetrySlack)
 	h.pool.SetMaxShift(settings.MaxShift)
-	h.handler.Memory.SetLimit(settings.Machine.memoryBudget())
-	debug.SetMemoryLimit(settings.Machine.runtimeMemoryLimit())
+	h.handler.Memory.SetLimit(settings.Machine.MemoryBudget())
+	debug.SetMemoryLimit(settings.Machine.RuntimeMemoryLimit())
 }
 
 // setLogLevel sets the lowest level that is logged.
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -78,32 +78,32 @@
 func (h *host) listen() ([]*connection.Server, error) {
 	var servers []*connection.Server
 	for _, s := range []struct {
-		kind    listenerKind
+		kind    ListenerKind
 		address netip.AddrPort
 		handler http.Handler
 	}{
 		{
-			kind:    callerListener,
+			kind:    CallerListener,
 			address: h.settings().CallerAddress,
 			handler: h.handler,
 		},
 		{
-			kind:    readyListener,
+			kind:    ReadyListener,
 			address: h.settings().ReadyAddress,
 			handler: platform.ReadyHandler(h.isReady),
 		},
 		{
-			kind:    lookupListener,
+			kind:    LookupListener,
 			address: h.settings().LookupAddress,
 			handler: platform.LookupHandler(h.lookUp),
 		},
 		{
-			kind:    peerListener,
+			kind:    PeerListener,
 			address: h.settings().PeerAddress,
 			handler: h.peerMessenger.newHandler(),
 		},
 		{
-			kind:    metricsListener,
+			kind:    MetricsListener,
 			address: h.settings().MetricsAddress,
 			handler: http.HandlerFunc(h.serveMetrics),
 		},
