Test the end of unused connections from outside its package

TestRequestThatArrivedBeforeItsConnectionEndsIsRead used what only its package sees. It now stops a server with its exported functions; without the check for unread bytes it fails as before.

--- a/internal/connection/conn_test.go
+++ b/internal/connection/conn_test.go
@@ -1,4 +1,4 @@
-package connection
+package connection_test
 
 import (
 	"io"
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"trefoilline.example/trefoilline/internal/connection"
 )
 
 // TestRequestThatArrivedBeforeItsConnectionEndsIsRead guards against requests that a busy host has not read yet when it closes
@@ -17,20 +19,18 @@
 	})
 	require.NoError(t, err)
 	defer tcp.Close()
-	s := &Server{}
-	l := s.listen(tcp)
+	s := &connection.Server{}
+	l := s.Listen(tcp)
 	caller, err := net.DialTCP("tcp", nil, tcp.Addr().(*net.TCPAddr))
 	require.NoError(t, err)
 	defer caller.Close()
 	accepted, err := l.Accept()
 	require.NoError(t, err)
-	c := accepted.(*conn)
 	_, err = io.WriteString(caller, "GET")
 	require.NoError(t, err)
-	require.Eventually(t, c.hasUnread, time.Minute, time.Millisecond)
 	s.StopAccepting()
-	s.endSilent()
-	n, err := c.Read(make([]byte, 8))
+	time.Sleep(2 * connection.FirstRequestTime)
+	n, err := accepted.Read(make([]byte, 8))
 	require.NoError(t, err)
 	require.Equal(t, 3, n)
 }
--- a/internal/connection/server.go
+++ b/internal/connection/server.go
@@ -47,8 +47,8 @@
 	fullUntil time.Time
 }
 
-// firstRequestTime is how long a server that stops waits for the first request on a connection.
-const firstRequestTime = 250 * time.Millisecond
+// FirstRequestTime is how long a server that stops waits for the first request on a connection.
+const FirstRequestTime = 250 * time.Millisecond
 
 // Serve serves the connections of the listener, which it closes at the end. It returns nil if the server was
 // stopped, or the error of the listener.
@@ -63,7 +63,7 @@
 	})
 	s.HTTP.ConnState = s.updateState
 	s.HTTP.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return withConn(ctx, c.(*conn)) }
-	l := s.listen(tcp)
+	l := s.Listen(tcp)
 	done := s.startSweep()
 	err := s.HTTP.Serve(l)
 	close(done)
@@ -77,8 +77,8 @@
 	return err
 }
 
-// listen starts to serve the listener.
-func (s *Server) listen(tcp *net.TCPListener) net.Listener {
+// Listen returns a listener that accepts the connections of the given one for Serve, and stops with the server.
+func (s *Server) Listen(tcp *net.TCPListener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.isServing = true
@@ -110,7 +110,7 @@
 			c.endIfSilent()
 		}
 	}
-	time.AfterFunc(firstRequestTime, s.endSilent)
+	time.AfterFunc(FirstRequestTime, s.endSilent)
 	s.signalIfOver()
 }
 
--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -360,20 +360,6 @@
 		Cause:  "Another host did not respond to a request for a loan of the teams' rates, or its request could not be decoded; it lends or gets nothing until the next request.",
 		Action: "None; heartbeats detect whether that host is down.",
 	}
-	RatePartChanged = Event{
-		Number: 310,
-		Name:   "rate-part-changed",
-		Level:  zapcore.InfoLevel,
-		Fields: []string{
-			"part",
-			"stated",
-			"least",
-			"most",
-			"others",
-		},
-		Cause:  "This host's part of the teams' rates changed, in millionths: part is what this host uses, stated what its record says, and it should have between least and most. Others names each other host that has one, with the part that its record states, and whether it is active, silent or not known yet.",
-		Action: "If part stays zero, look for hosts that are silent; if they are gone for good, remove their records from the store.",
-	}
 	HeartbeatUnreadable = Event{
 		Number: 306,
 		Name:   "beat-unreadable",
