Plan the distribution of load among regions only in fleets with relays

With 7 hosts the demand by cached slot times was a fraction of the load that the servers measured (5 to 15 slots where the utilization was 1.8). Ruled out: the queue and the lookups.

--- a/internal/host/region_plans.go
+++ b/internal/host/region_plans.go
@@ -3,9 +3,24 @@
 import (
 	"time"
 
+	"trefoilline.example/trefoilline/membership"
 	"trefoilline.example/trefoilline/placement"
 )
 
+// maxShift returns the largest shift that the plans keep to, zero if there are none.
+func (h *host) maxShift() float64 { return h.settings().PlannedShift(h.hostCount()) }
+
+// PlannedShift returns the largest shift that the plans of a fleet of so many hosts keep to; zero if load is distributed by measured
+// utilization alone. In a fleet without relays each host sends a large part of all requests, so what it measures is
+// recent. There the plan knows less than the measurement: with 7 hosts and a region whose servers hold few of its
+// keys, the demand by the time of cached keys is far below the load.
+func (s Settings) PlannedShift(hosts int) float64 {
+	if hosts <= membership.MaxDirectHosts {
+		return 0
+	}
+	return s.MaxShift
+}
+
 // plannedRemoteShares computes the next plan of each service, and returns the remote shares of the
 // plans.
 func (h *host) plannedRemoteShares(utilization map[string]placement.RegionUtilization, elapsed time.Duration) placement.RemoteShares {
@@ -28,7 +43,7 @@
 			Reports:     reports[service],
 			Utilization: utilization[service],
 			Elapsed:     elapsed,
-			MaxShift:    h.settings().MaxShift,
+			MaxShift:    h.maxShift(),
 		})
 		if utilization[service].IsIdle() {
 			// There is too little load to plan with. The share follows the slots, which still
@@ -45,7 +60,7 @@
 // limitLocalShares returns the local shares with which no more of this region's requests change
 // their region in the elapsed time than the settings allow the plan.
 func (h *host) limitLocalShares(wanted map[string]float64, loads []placement.RouteLoad, elapsed time.Duration) map[string]float64 {
-	maxShift := h.settings().MaxShift
+	maxShift := h.maxShift()
 	if maxShift == 0 {
 		return wanted
 	}
--- a/internal/host/reload.go
+++ b/internal/host/reload.go
@@ -95,7 +95,6 @@
 	h.currentSettings.Store(&settings)
 	h.limiter.SetOvershoot(settings.OvershootFraction, settings.OvershootRequests)
 	h.handler.RetryBudget.SetLimits(settings.RetryRatio, settings.RetrySlack)
-	h.pool.SetMaxShift(settings.MaxShift)
 	h.handler.Memory.SetLimit(settings.Machine.MemoryBudget())
 	debug.SetMemoryLimit(settings.Machine.RuntimeMemoryLimit())
 }
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -140,7 +140,9 @@
 	}
 	utilization := h.utilizationByRegion()
 	var remoteShares placement.RemoteShares
-	if h.settings().MaxShift > 0 {
+	maxShift := h.maxShift()
+	h.pool.SetMaxShift(maxShift)
+	if maxShift > 0 {
 		remoteShares = h.plannedRemoteShares(utilization, elapsed)
 	} else {
 		h.regionPlans = nil
