--- a/observe/catalogue.go
+++ b/observe/catalogue.go
@@ -337,29 +337,6 @@
 		Cause:  "Logged periodically. away: for each service, the share of its load that other regions serve. planned: what that share approaches according to demand and slots; omitted if demand is unknown, so that away follows crowding alone. corrected: what crowding adds to planned; omitted if 0. demand: for each service, the slots that the requests of the callers of each region are expected to occupy if the servers have their affinity keys cached. to: for each service, how what is away is divided among the other regions. crowding: for each service, its utilization by region. homes: for each route, the share of its affinity keys that are served in the local region; omitted if 1. spilled: for each service, the requests since the start that ran in another region than planned because no server in that region took them. hosts: the number of hosts that share the limits. rates: for each team with a limit, this host's share of its rate.",
 		Action: "None.",
 	}
-	TokenRequestFailed = Event{
-		Number: 308,
-		Name:   "token-unasked",
-		Level:  zapcore.DebugLevel,
-		Fields: []string{
-			"to",
-			"error",
-		},
-		Cause:  "Another host did not respond to a request for a token of a team's rate limit; the next host was asked, or the caller's request was rejected.",
-		Action: "None; heartbeats detect whether that host is down.",
-	}
-	LoanRequestFailed = Event{
-		Number: 309,
-		Name:   "loan-failed",
-		Level:  zapcore.DebugLevel,
-		Fields: []string{
-			"to",
-			"from",
-			"error",
-		},
-		Cause:  "Another host did not respond to a request for a loan of the teams' rates, or its request could not be decoded; it lends or gets nothing until the next request.",
-		Action: "None; heartbeats detect whether that host is down.",
-	}
 	HeartbeatUnreadable = Event{
 		Number: 306,
 		Name:   "beat-unreadable",
--- a/observe/catalogue_parts.go
+++ b/observe/rate_events.go
@@ -2,8 +2,31 @@
 
 import "go.uber.org/zap/zapcore"
 
-// The events about this host's part of the teams' rates.
+// The events about the teams' rates in a fleet that runs trefoillined serve.
 var (
+	TokenRequestFailed = Event{
+		Number: 308,
+		Name:   "token-unasked",
+		Level:  zapcore.DebugLevel,
+		Fields: []string{
+			"to",
+			"error",
+		},
+		Cause:  "Another host did not respond to a request for a token of a team's rate limit; the next host was asked, or the caller's request was rejected.",
+		Action: "None; heartbeats detect whether that host is down.",
+	}
+	LoanRequestFailed = Event{
+		Number: 309,
+		Name:   "loan-failed",
+		Level:  zapcore.DebugLevel,
+		Fields: []string{
+			"to",
+			"from",
+			"error",
+		},
+		Cause:  "Another host did not respond to a request for a loan of the teams' rates, or its request could not be decoded; it lends or gets nothing until the next request.",
+		Action: "None; heartbeats detect whether that host is down.",
+	}
 	RatePartChanged = Event{
 		Number: 310,
 		Name:   "rate-part-changed",
