Test that lookups name hosts of two zones

Taken out on a scratch copy, the condition was missed by every test: the cases with hosts of one zone had too few hosts anyway. One has three now, and fails without it.

--- a/membership/caller_hosts_test.go
+++ b/membership/caller_hosts_test.go
@@ -121,18 +121,17 @@
 // there are others.
 func TestCallersHaveOtherHostsWhenLargeOnesAreLost(t *testing.T) {
 	small, large := hostsOfSize("small", 10, smallSize), hostsOfSize("large", 2, largeSize)
-	for name, lost := range map[string][]membership.HostRecord{
-		"one left":         large[:1],
-		"two left":         large[:2],
-		"one zone left":    {large[0], large[2]},
-		"none left":        nil,
-		"three in a zone":  hostsOfSize("large", 3, largeSize)[:1],
-		"all in one zone":  {large[1], large[3]},
-		"one of each zone": {large[0], large[1]},
+	three := hostsOfSize("large", 3, largeSize)
+	for name, left := range map[string][]membership.HostRecord{
+		"one":                   large[:1],
+		"two, one of each zone": large[:2],
+		"two of one zone":       {large[0], large[2]},
+		"three of one zone":     {three[0], three[2], three[4]},
+		"none":                  nil,
 	} {
 		var tiers membership.CallerTiers
-		selected := tiers.Select(append(lost, small...), membership.CallerLoad{})
-		require.Len(t, selected, len(lost)+len(small), name)
+		selected := tiers.Select(append(left, small...), membership.CallerLoad{})
+		require.Len(t, selected, len(left)+len(small), name)
 	}
 	var tiers membership.CallerTiers
 	require.Empty(t, tiers.Select(nil, membership.CallerLoad{}))
