Add review case 7: each change of the configuration stays in a host's memory

Cause: objectstore.changeHistory keeps up to 2,048 changes of a prefix with the whole objects, and bounds neither their bytes nor their age. For the configuration each change costs its size, on every host, until the host ends.

The case: a configuration of 420 KB (1,976 routes) is changed in 36 storms of the site's own size. Hosts of 284 MB are killed for their memory after some 600 changes, and requests from kept connections that ran at sound servers end with a closed connection (LOST).

--- a/review/_standin2/endless.go
+++ b/review/_standin2/endless.go
@@ -114,10 +114,6 @@
 const (
 	calmTime    = 5 * time.Second
 	troubleTime = 20 * time.Second
-	// maxLost is how many such requests of a machine LOST allows.
-	maxLost = 3
-	// faultEnds on faultMachines machines are what Fault names.
-	faultEnds, faultMachines = 3, 2
 )
 
 // playEndless has the servers of one service send bytes without end, and counts the requests of the other service's servers, which
@@ -133,9 +129,7 @@
 		{"edge-accra-a-2", "accra", "accra-a", 284},
 		{"edge-accra-b-1", "accra", "accra-b", 284},
 	} {
-		if err := f.addHost(m); err != nil {
-			return noRun, err
-		}
+		f.addHost(m)
 	}
 	ran := &ranAt{ids: make(map[string]*backend)}
 	backends, err := chalklineServers(f, []string{"accra-a", "accra-b"}, ran.note)
@@ -150,23 +144,9 @@
 	}
 	r.say("the hosts are ready")
 	callers := newCallers(f.hosts, apiKey, hostAt)
-	var mu sync.Mutex
-	lost := make(map[*host]int)
-	callers.onEnd = func(a *attempt) {
-		b := ran.of(a.id)
-		server := "none"
-		if b != nil {
-			server = b.id + " of " + b.service
-		}
-		r.line("request %s (%s) to %s, kept connection %v: answer %d%s after %.3f s; ran at: %s",
-			a.id, a.kind.name, a.host.name, a.kept, a.status, a.ended, a.took.Seconds(), server)
-		// The servers in trouble note no run.
-		if a.kept && a.ended == closedByHost && b != nil {
-			mu.Lock()
-			lost[a.host]++
-			mu.Unlock()
-		}
-	}
+	// The servers in trouble note no run.
+	losses := &losses{record: r, ran: ran, lost: make(map[*host]int)}
+	callers.onEnd = losses.note
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for _, k := range chalklineKinds {
@@ -186,22 +166,5 @@
 	time.Sleep(troubleTime)
 	cancel()
 	r.say("at the end: %s", &callers.counts)
-	isLost, faulty := false, 0
-	mu.Lock()
-	defer mu.Unlock()
-	for _, h := range f.hosts {
-		ends := h.endCount()
-		if ends >= faultEnds {
-			faulty++
-		}
-		isLost = isLost || lost[h] > maxLost
-		r.say("%s: its process ended %d times, at most %d kB; %d requests from kept connections that ran at sound servers had their connection closed without an answer",
-			h.name, ends, h.peak(), lost[h])
-	}
-	r.say("Fault (three ends on two machines): %v", faulty >= faultMachines)
-	r.say("LOST (more than three at one machine): %v", isLost)
-	if isLost {
-		return broken, nil
-	}
-	return held, nil
+	return losses.judge(f.hosts), nil
 }
--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"trefoilline.example/trefoilline/internal/standin/loopback"
 	"trefoilline.example/trefoilline/platform/standin"
 )
 
@@ -79,28 +80,13 @@
 	return f, nil
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String()), nil
-}
-
 // addHost adds a host whose process is not running yet.
-func (f *fleet) addHost(m machine) error {
+func (f *fleet) addHost(m machine) {
 	h := &host{machine: m, fleet: f, path: filepath.Join(f.folder, m.name+".json")}
 	for _, a := range []*netip.AddrPort{&h.entry, &h.ready, &h.look, &h.peer, &h.meter} {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		*a = address
+		*a = loopback.MustFreeAddress()
 	}
 	f.hosts = append(f.hosts, h)
-	return nil
 }
 
 // writeSettings writes the file that the template of the deploy file gives.
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -21,6 +21,7 @@
 	}
 	play, isKnown := map[string]func(*record, string, bool) (int, error){
 		"endless": playEndless,
+		"storm":   playStorm,
 	}[os.Args[1]]
 	if !isKnown {
 		fmt.Fprintln(os.Stderr, "no such case")
