Add review case 8: a fleet whose hosts are all lost and replaced never gets ready

Cause: the record of a host that was lost without SIGTERM keeps the host's part of all teams' rates until an operator removes it by hand, so that new hosts get no part and none to borrow.

The case: all three hosts lose power for good, and three others with names of their own take their places. None of these gets ready, and every request is rejected (RECOVER).

--- a/review/_standin2/endless.go
+++ b/review/_standin2/endless.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -38,6 +39,9 @@
   {"Name":"pack-download","PathPrefix":"/packs/","Kind":"download","TimeoutS":1.0,"TargetLatencyS":0.25,"Priority":2,"Service":"packhouse","MaxAttempts":2,"AllowAnonymous":false,"Affinity":true,"AllowedRegions":[]},
   {"Name":"report-pull","PathPrefix":"/reports/","Kind":"safe","TimeoutS":5.0,"TargetLatencyS":0.8,"Priority":2,"Service":"packhouse","MaxAttempts":2,"AllowAnonymous":false,"Affinity":true,"AllowedRegions":[]}]}]}`
 
+// ratedConfiguration is the same with a rate for the team, as the bench prints it.
+var ratedConfiguration = strings.Replace(chalklineConfiguration, `"RatePerS":0,"Burst":0`, `"RatePerS":275,"Burst":275`, 1)
+
 // chalklineKinds are the kinds of requests of that sheet, at its rates.
 var chalklineKinds = []kind{
 	{"stock-check", "GET", "/stock/", 1200 * time.Millisecond, 332, 0},
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -21,6 +21,7 @@
 	}
 	play, isKnown := map[string]func(*record, string, bool) (int, error){
 		"endless": playEndless,
+		"replace": playReplace,
 		"target":  playTarget,
 		"storm":   playStorm,
 	}[os.Args[1]]
