Let hosts own on leases what they divide, so that lost ones leave it

Cause: the part of the teams' rates that a record states was its host's until the record was removed. Hosts removed only records that say that their host stopped, after 20 to 40 s; others were left to an operator. Evidence: event 310 on the new hosts, part 0 of least 0 and most 0, the three lost ones silent with 1,000,000 in sum.

Change: a host owns what its record states for 6 s after it last knew that the record stands: by an answer of the store, or of all other hosts.

The test of recovered parts now uses the lease's end, 6 s, where the part ended after 10 s.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -28,6 +28,7 @@
 package host
 
 import (
+	"math"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -174,7 +175,7 @@
 		Client:      h.client,
 		HeaderCodec: platform.HeaderCodec,
 		RetryBudget: &bufferproxy.RetryBudget{
-			HostCount: h.hostCount,
+			HostCount: h.retrySharers,
 		},
 		CrashDetector: h.crashDetector,
 		BorrowToken:   h.borrowToken,
@@ -214,6 +215,15 @@
 	return len(h.roster.RecentPeers()) + len(h.roster.SilentPeers()) + 1
 }
 
+// retrySharers returns among how many hosts the burst of the retry budget is divided. A host whose lease has ended takes the least
+// part, since the others no longer count it.
+func (h *host) retrySharers() int {
+	if h.hasLostLease() {
+		return math.MaxInt
+	}
+	return h.hostCount()
+}
+
 // isReady reports whether the host accepts requests: the configuration, the backend servers
 // and its shares of the team rates are known, and it is not draining.
 func (h *host) isReady() bool {
@@ -232,6 +242,7 @@
 		Joined:        h.joined.Load(),
 		Forwards:      true,
 		Lends:         true,
+		Leased:        true,
 		Size:          h.settings().Machine.size(),
 	}
 }
--- a/internal/host/part_recovery.go
+++ b/internal/host/part_recovery.go
@@ -27,9 +27,6 @@
 	minPartRecoveryInterval = 200 * time.Millisecond
 	maxPartRecoveryInterval = 4 * time.Second
 	partRecoveryTimeout     = 400 * time.Millisecond
-	// RecoveredPartTime is how long a part is used after all hosts remembered it last. A host that can't be asked any longer may
-	// remove the record of one that it has not heard from for [stoppedRecordTime], and use its part.
-	RecoveredPartTime = stoppedRecordTime / 2
 )
 
 // recoverPart asks the other hosts, after a restart while the store does not respond, for the part that an earlier process of this
@@ -43,7 +40,7 @@
 	for interval := minPartRecoveryInterval; ctx.Err() == nil && h.part.NeedsRecovery(); interval = min(2*interval, maxPartRecoveryInterval) {
 		members := h.members()
 		isHolder := slices.Contains(h.holders(members), h.settings().Host)
-		if isHolder && h.followers[hostRecordPrefix].IsFailing() {
+		if isHolder {
 			h.tryRecoverPart(ctx)
 		}
 		h.updateDivisionSoon()
@@ -54,9 +51,10 @@
 // tryRecoverPart asks all hosts once.
 func (h *host) tryRecoverPart(ctx context.Context) {
 	members := h.runningMembers()
+	sentAt := time.Now()
 	answers := h.peerMessenger.requestParts(ctx, members)
 	recovered, isRecovered := quota.RecoverPart(h.settings().Host, names(members), answers)
-	if !isRecovered || !h.part.Recover(recovered) {
+	if !isRecovered || !h.part.Recover(recovered, sentAt) {
 		return
 	}
 	h.log.Write(observe.RatePartRecovered, zap.Int("part", recovered.Part), zap.Uint64("version", recovered.Version),
@@ -136,11 +134,13 @@
 // handlePartRequest answers a host that has started again.
 func (p *peerMessenger) handlePartRequest(w http.ResponseWriter, r *http.Request) {
 	name := r.URL.Query().Get("host")
+	p.noteQuestion(name)
 	answer := quota.PartAnswer{
 		Statement: p.host.partStatements.Of(name),
 		Part:      p.host.part.granted(),
 		Members:   append(names(p.host.runningMembers()), p.host.settings().Host),
 	}
+	answer.Holders, _ = p.host.limiter.DivisionHash()
 	if records := p.host.records.Load(); records != nil {
 		answer.RecordVersion = uint64(records.known[name].version)
 	}
--- a/internal/host/parts.go
+++ b/internal/host/parts.go
@@ -28,17 +28,18 @@
 	isResumed bool
 	// version is that of the record that states the part, zero if that is not known.
 	version objectstore.Version
-	// isRecovered is true while the part is one that other hosts remember, which they said last at validAt. isStored is true
-	// once the store has answered this process about its record.
+	// isRecovered is true while the part is one that other hosts remember. isStored is true once the store has answered this
+	// process about its record.
 	isRecovered, isStored bool
-	validAt               time.Time
+	// lease is for how long this host owns what its record states.
+	lease quota.Lease
 }
 
-// Usable returns the part that this host may use, and whether it is the one that it should have.
+// Usable returns the part that this host may use, and whether it is the one that it should have. There is none without a lease.
 func (p *RatePart) Usable(target quota.TargetPart) (part int, isSettled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isRecovered && p.now().Sub(p.validAt) > RecoveredPartTime {
+	if !p.lease.IsValid(p.now()) {
 		return 0, false
 	}
 	return p.claim.Usable(target), p.claim.IsSettled(target)
@@ -71,28 +72,28 @@
 	return p.claim.Granted()
 }
 
-// NeedsRecovery reports whether this process has no part that its record is known to state, and the store has not answered.
+// NeedsRecovery reports whether this process has no part that its record is known to state, or no lease of it, and the store has not
+// answered.
 func (p *RatePart) NeedsRecovery() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.isStored && (p.isRecovered || p.claim.Granted() == 0)
+	return !p.isStored && (p.isRecovered || p.claim.Granted() == 0 || !p.lease.IsValid(p.now()))
 }
 
-// Recover sets the part that other hosts remember, or notes that they still do. It returns true if the part is a new one, and does
-// nothing if this host knows a later record.
-func (p *RatePart) Recover(remembered quota.PartStatement) bool {
+// Recover sets the part that other hosts remember, or notes that they still do, in response to questions that were sent at a time. It
+// returns true if the part is a new one, and does nothing if this host knows a later record.
+func (p *RatePart) Recover(remembered quota.PartStatement, sentAt time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case p.isStored || uint64(p.version) > remembered.Version:
 		return false
-	case p.isRecovered && uint64(p.version) == remembered.Version:
-		p.validAt = p.now()
-		return false
-	case p.claim.Granted() > 0:
+	case p.claim.Granted() > 0 && uint64(p.version) == remembered.Version:
+		p.isRecovered = true
+		p.lease.Confirm(sentAt)
 		return false
 	}
-	p.validAt = p.now()
+	p.lease.Confirm(sentAt)
 	p.claim = quota.PartClaim{}
 	p.claim.Resume(remembered.Part, nil)
 	p.version = objectstore.Version(remembered.Version)
@@ -174,9 +175,12 @@
 	division.Holders = h.holders(members)
 	states := h.memberStates(members, division.Holders)
 	target := h.targetPart(states)
+	hash := division.Hash()
+	h.extendLease(members, hash)
 	part, isSettled := h.part.Usable(target)
 	division.Part = float64(part) / quota.WholePart
-	division.IsAgreed = isSettled && h.isCountedBy(states, division.Hash())
+	division.LeaseConfirmedAt = h.part.LeaseConfirmedAt()
+	division.IsAgreed = isSettled && h.isCountedBy(states, hash)
 	h.limiter.SetDivision(division)
 	if part != h.lastPartLog.part {
 		h.checkRecordSoon()
--- a/internal/host/parts_test.go
+++ b/internal/host/parts_test.go
@@ -17,7 +17,7 @@
 	require.True(t, p.Recover(quota.PartStatement{
 		Part:    quota.WholePart / 2,
 		Version: 7,
-	}))
+	}, time.Now()))
 	return p
 }
 
@@ -27,17 +27,17 @@
 }
 
 // TestRecoveredPartEndsWithoutTheOthers guards against a host that uses a part which it recovered, while another that can't be asked
-// any longer removes its record and uses the same part.
+// any longer removes its record and uses the same part, and against one that counts its lease from the answers.
 func TestRecoveredPartEndsWithoutTheOthers(t *testing.T) {
 	p := recoveredPart(t)
 	part, _ := p.Usable(wholeTarget)
 	require.Equal(t, quota.WholePart/2, part)
 	require.True(t, p.NeedsRecovery(), "it asks again")
-	later := time.Now().Add(host.RecoveredPartTime + time.Second)
+	later := time.Now().Add(quota.LeaseTime + time.Millisecond)
 	p.Clock = func() time.Time { return later }
 	part, _ = p.Usable(wholeTarget)
 	require.Zero(t, part)
-	require.False(t, p.Recover(p.Statement()), "the part is not a new one")
+	require.False(t, p.Recover(p.Statement(), later.Add(-quota.LeaseTime)), "the part is not a new one")
 	part, _ = p.Usable(wholeTarget)
 	require.Equal(t, quota.WholePart/2, part)
 }
@@ -67,7 +67,7 @@
 	require.False(t, p.Recover(quota.PartStatement{
 		Part:    quota.WholePart / 2,
 		Version: 7,
-	}))
+	}, time.Now()))
 	require.True(t, p.IsOlder(7))
 	require.False(t, p.IsOlder(8))
 }
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -55,6 +55,10 @@
 	mu sync.Mutex
 	// sending holds the addresses to which a heartbeat is being sent.
 	sending map[netip.AddrPort]struct{}
+	// answered holds by address when the last message was sent that another host answered, and questions by name when
+	// another host last asked for its part.
+	answered  map[netip.AddrPort]time.Time
+	questions map[string]time.Time
 }
 
 // newHandler returns a handler for the calls of other hosts.
@@ -265,6 +269,9 @@
 		return 0, nil
 	}
 	p.host.roster.RecordRoundTrip(address, time.Since(start))
+	if response.StatusCode/100 == 2 {
+		p.noteAnswer(address, start)
+	}
 	return response.StatusCode, content
 }
 
--- a/internal/host/record_writer.go
+++ b/internal/host/record_writer.go
@@ -34,6 +34,8 @@
 	version objectstore.Version
 	// writtenAt is when the record was last written.
 	writtenAt time.Time
+	// checkedAt is when the record was last read for the lease.
+	checkedAt time.Time
 	// rewrites counts writes whose outcome is not known.
 	rewrites uint64
 }
@@ -48,12 +50,13 @@
 
 // writeRecord writes this host's record to the store unless the store has it already, from
 // before a restart, and does so again if the record is gone or the part that it states changes. It
-// removes the records of hosts that stopped long ago. It ends when the host drains.
+// removes the records of hosts that stopped long ago or are lost. It ends when the host drains.
 func (h *host) writeRecord(ctx context.Context) {
 	h.awaitHostsLoaded(ctx)
 	w := &recordWriter{
 		host: h,
 	}
+	reclaimer := newReclaimer(h)
 	for ctx.Err() == nil && !h.draining.Load() {
 		isChanged, err := w.step(ctx)
 		if err != nil {
@@ -63,6 +66,7 @@
 			continue
 		}
 		h.removeStopped(ctx)
+		reclaimer.step(ctx)
 		select {
 		case <-ctx.Done():
 		case <-h.recordDue:
@@ -75,9 +79,16 @@
 // once.
 func (w *recordWriter) step(ctx context.Context) (isChanged bool, err error) {
 	w.readCopy()
+	w.host.part.EndLease()
 	if w.stored.Stopped {
 		return true, w.restart(ctx)
 	}
+	if w.isCheckDue() {
+		w.checkedAt = time.Now()
+		if err := w.read(ctx); err != nil {
+			return false, err
+		}
+	}
 	action := w.nextAction()
 	if _, isConfirm := action.(quota.ConfirmPart); isConfirm && w.version != 0 {
 		return w.confirm(ctx)
@@ -105,6 +116,12 @@
 	return true, nil
 }
 
+// isCheckDue reports whether the store is to be asked whether the record stands.
+func (w *recordWriter) isCheckDue() bool {
+	isRecent := time.Since(w.checkedAt) < leaseCheckInterval
+	return w.version != 0 && !isRecent && w.host.needsLease() && w.host.part.IsLeaseOlder(leaseCheckAge)
+}
+
 // record returns this host's record, with the part that it stated last.
 func (w *recordWriter) record() storedRecord {
 	return storedRecord{
@@ -223,13 +240,6 @@
 	return err
 }
 
-// isRemoved reports whether a write failed because its object has been removed or replaced.
-func isRemoved(err error) bool {
-	var notFound *objectstore.NotFoundError
-	var conflict *objectstore.ConflictError
-	return errors.As(err, &notFound) || errors.As(err, &conflict)
-}
-
 // write replaces this host's record, or creates it.
 func (w *recordWriter) write(ctx context.Context, own storedRecord) error {
 	value, err := json.Marshal(own)
@@ -242,11 +252,14 @@
 			Version: w.version,
 		}
 	}
+	sentAt := time.Now()
 	version, err := w.host.store.Put(ctx, w.key(), value, condition)
 	var notSent *objectstore.UnavailableError
 	switch {
 	case err == nil:
 		w.stored, w.version, w.writtenAt = own, version, time.Now()
+		w.host.part.ConfirmLease(sentAt)
+		w.host.updateDivisionSoon()
 		return nil
 	case isRemoved(err):
 		return errors.Join(err, w.read(ctx))
@@ -256,13 +269,13 @@
 	return err
 }
 
-// read reads this host's record from the store after a write whose condition did not hold.
+// read reads this host's record from the store, for the lease or after a write whose condition did not hold.
 func (w *recordWriter) read(ctx context.Context) error {
+	sentAt := time.Now()
 	found, err := w.host.store.Get(ctx, w.key())
 	var notFound *objectstore.NotFoundError
 	if errors.As(err, &notFound) {
-		w.stored, w.version = storedRecord{}, 0
-		w.host.part.Settle(false)
+		w.forget()
 		return nil
 	}
 	if err != nil {
@@ -275,19 +288,36 @@
 		return err
 	}
 	w.host.part.Settle(true)
-	w.take(stored, found.Version)
+	if found.Version != w.version {
+		w.take(stored, found.Version)
+	}
+	if stored.SuspectedBy == "" && !stored.Stopped {
+		w.host.part.ConfirmLease(sentAt)
+		w.host.updateDivisionSoon()
+	}
 	return nil
 }
 
+// forget notes that the store has no record of this host. If its lease has ended, others may have what it owned, and it joins anew.
+func (w *recordWriter) forget() {
+	w.stored, w.version = storedRecord{}, 0
+	w.host.part.Settle(false)
+	if w.host.part.HasLostLease() {
+		w.host.joined.Store(uint64(time.Now().UnixNano()))
+		w.host.part.SetStated(0, 0)
+	}
+}
+
 // confirm lists the records of all hosts, and lets this host use the part that its own states if
 // the parts add up to no more than the whole. It reports whether they do.
 func (w *recordWriter) confirm(ctx context.Context) (bool, error) {
+	sentAt := time.Now()
 	objects, err := w.host.store.List(ctx, hostRecordPrefix)
 	if err != nil {
 		return false, err
 	}
 	var records []storedRecord
-	isListed := false
+	isListed, isFound := false, false
 	for _, o := range objects {
 		record, err := decodeRecord(o)
 		if err != nil {
@@ -298,13 +328,22 @@
 		if record.Name != w.host.settings().Host {
 			continue
 		}
+		isFound = true
 		if o.Version > w.version {
 			w.take(record, o.Version)
 		}
 		isListed = record == w.stored
 	}
-	// Else the store was restored or another process writes the record; the next copy shows it.
-	return isListed && w.host.confirmPart(records), nil
+	switch {
+	case !isFound && w.host.part.HasLostLease():
+		w.forget()
+		return true, nil
+	case !isListed || w.stored.SuspectedBy != "" || !w.host.confirmPart(records):
+		// The store was restored, another host suspects this one, or another process writes the record; the next copy shows it.
+		return false, nil
+	}
+	w.host.part.ConfirmLease(sentAt)
+	return true, nil
 }
 
 // confirmPart lets this host use its part if the parts that all records state add up to no more than
@@ -347,6 +386,18 @@
 	if err != nil {
 		return err
 	}
-	_, err = h.store.Put(ctx, w.key(), value, objectstore.Always{})
+	_, err = h.store.Put(ctx, w.key(), value, h.stopCondition())
 	return err
 }
+
+// stopCondition returns the condition of the write that says that this host stops. Without a lease, the record may have been
+// removed and its part taken by others.
+func (h *host) stopCondition() objectstore.Condition {
+	records := h.records.Load()
+	if records == nil || records.ownVersion == 0 || !h.hasLostLease() {
+		return objectstore.Always{}
+	}
+	return objectstore.IfVersion{
+		Version: records.ownVersion,
+	}
+}
--- a/internal/host/records.go
+++ b/internal/host/records.go
@@ -31,6 +31,8 @@
 	// Stopped is true if the host has stopped. It may start again, so its part stays its own until
 	// another host removes the record.
 	Stopped bool `json:"stopped,omitempty"`
+	// SuspectedBy is the name of the host that suspects that this one is gone, and removes the record unless it is written anew.
+	SuspectedBy string `json:"suspected-by,omitempty"`
 	// Rewrites counts writes whose outcome was not known, so that the next one changes the record
 	// and a late one of these does not replace it.
 	Rewrites uint64 `json:"rewrites,omitempty"`
@@ -97,6 +99,8 @@
 	version objectstore.Version
 	// since is since when this host knows a record of this name.
 	since time.Time
+	// changedAt is when this host first saw the record as it is.
+	changedAt time.Time
 	// removeAt is when this host removes the record of a host that has stopped, if no other does so
 	// before.
 	removeAt time.Time
@@ -147,6 +151,12 @@
 		h.joined.Store(records.own.Joined)
 	}
 	h.roster.SetRecords(running)
+	for name := range before.known {
+		if _, isKnown := records.known[name]; !isKnown {
+			// It owns nothing that the others would have to leave to it.
+			h.roster.ForgetSilent(name)
+		}
+	}
 	if records.own.Name != "" && !records.own.Stopped {
 		h.resumePart(records.own, records.ownVersion)
 	}
@@ -159,10 +169,14 @@
 // of one that has stopped, at different times.
 func (k knownRecord) replaceWith(record storedRecord, version objectstore.Version, now time.Time) knownRecord {
 	replaced := knownRecord{
-		record:   record,
-		version:  version,
-		since:    k.since,
-		removeAt: k.removeAt,
+		record:    record,
+		version:   version,
+		since:     k.since,
+		changedAt: k.changedAt,
+		removeAt:  k.removeAt,
+	}
+	if k.version != version {
+		replaced.changedAt = now
 	}
 	if replaced.since.IsZero() {
 		replaced.since = now
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -160,6 +160,7 @@
 	for _, task := range []func(context.Context){
 		h.writeRecord,
 		h.recoverPart,
+		h.askForLease,
 		h.peerMessenger.runHeartbeats,
 		h.peerMessenger.borrowShares,
 		h.updateFromPeers,
--- a/internal/host/shares.go
+++ b/internal/host/shares.go
@@ -54,7 +54,7 @@
 // updateSenders returns the names of the hosts by region among which what cold or limited servers
 // accept is divided. These are all that may be running, also those that this host does not hear from:
 // they may send their parts too. A host that has just joined is not among them until the others
-// count it, and one that has left is until the others don't.
+// count it, nor one whose lease has ended, and one that has left is until the others don't.
 func (h *host) updateSenders() map[string][]string {
 	current := make(map[string][]string)
 	if !h.hostsLoaded.Load() {
@@ -65,8 +65,8 @@
 	}
 	self := h.settings()
 	_, isAgreed := h.limiter.DivisionHash()
-	wasCounted := slices.Contains(h.senders[self.Region], self.Host)
-	if !isAgreed && !wasCounted {
+	wasCounted := slices.Contains(h.senders[self.Region], self.Host) && !h.hasLostLease()
+	if !wasCounted && (!isAgreed || h.hasLostLease()) {
 		current[self.Region] = slices.DeleteFunc(current[self.Region], func(name string) bool { return name == self.Host })
 	}
 	if !isAgreed && wasCounted {
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -43,6 +43,9 @@
 	// Lends is true if the host divides the teams' rates as [quota.Division] says. A host of an
 	// earlier build does not.
 	Lends bool `json:"lends,omitempty"`
+	// Leased is true if the host owns what its record states on a [quota.Lease]. A host of an earlier
+	// build does not.
+	Leased bool `json:"leased,omitempty"`
 	// Size is that of the host's machine. A host of an earlier build does not know it.
 	Size Size `json:"size,omitzero"`
 }
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -121,6 +121,36 @@
 	return last.heartbeat, isKnown && r.now().Sub(last.heardAt) <= RetentionTime
 }
 
+// LivePeer returns the last heartbeat of a host, and whether the host is live.
+func (r *Roster) LivePeer(name string) (Heartbeat, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.received[name].heartbeat, r.isLive(name, r.now())
+}
+
+// HasRelays reports whether the fleet had relays at the last call of [Roster.Targets].
+func (r *Roster) HasRelays() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasRelays
+}
+
+// LastHeard returns when a host was last heard from, directly or through a relay; zero if it was not.
+func (r *Roster) LastHeard(name string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.received[name].heardAt
+}
+
+// ForgetSilent drops what a host reported unless it is live.
+func (r *Roster) ForgetSilent(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isLive(name, r.now()) {
+		delete(r.received, name)
+	}
+}
+
 // selectReceived returns the last heartbeats for which include returns true, sorted by name.
 func (r *Roster) selectReceived(include func(receivedHeartbeat) bool) []Heartbeat {
 	var heartbeats []Heartbeat
--- a/observe/list.go
+++ b/observe/list.go
@@ -46,6 +46,8 @@
 		RatePartChanged,
 		CallerHostsSelected,
 		RatePartRecovered,
+		HostSuspected,
+		HostRecordReclaimed,
 		RequestRejected,
 		RequestOutcomeUnknown,
 		ResponseIncomplete,
--- a/observe/rate_events.go
+++ b/observe/rate_events.go
@@ -39,7 +39,7 @@
 			"others",
 		},
 		Cause:  "This host's part of the teams' rates changed, in millionths: part is what this host uses, stated what its record says, and it should have between least and most. Others names each other host that has one, with the part that its record states, and whether it is active, silent or not known yet.",
-		Action: "If part stays zero, look for hosts that are silent; if they are gone for good, remove their records from the store.",
+		Action: "If part stays zero, look for hosts that are silent. What hosts own that are gone for good is free some 12 s after they were last heard, unless they are of an earlier build; remove the records of those from the store.",
 	}
 	RatePartRecovered = Event{
 		Number: 312,
@@ -53,4 +53,26 @@
 		Cause:  "This host started again while the store did not respond. It uses the part of the teams' rates, in millionths, that its record of this version states, as all the hosts in answered remember.",
 		Action: "None; look for the cause of the store's outage.",
 	}
+	HostSuspected = Event{
+		Number: 313,
+		Name:   "host-suspected",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"host",
+			"part",
+		},
+		Cause:  "This host has not heard the other one, which owns this part of the teams' rates, in millionths, for 3 s, and has marked its record. If that host runs and reaches the store, it writes the record anew.",
+		Action: "None, if the host was stopped or replaced; else check the connections between the two.",
+	}
+	HostRecordReclaimed = Event{
+		Number: 314,
+		Name:   "host-record-reclaimed",
+		Level:  zapcore.InfoLevel,
+		Fields: []string{
+			"host",
+			"part",
+		},
+		Cause:  "The record of a host that was suspected for 8 s was removed; its lease has ended, and the others divide what it owned.",
+		Action: "None. If that host still runs, it joins anew once it reaches the store.",
+	}
 )
--- a/quota/borrower.go
+++ b/quota/borrower.go
@@ -141,10 +141,25 @@
 		}
 		l.setShares(end)
 	}
+	l.endPart(now)
 	l.setShares(now)
 	l.nextExpiry = l.firstExpiry()
 }
 
+// endPart sets the buckets as of the end of this host's part, if its lease has ended since the last call.
+func (l *Limiter) endPart(now time.Time) {
+	isOver := l.isLeaseOver(now)
+	if isOver && !l.isPartOver {
+		l.isPartOver = true
+		end := l.division.LeaseConfirmedAt.Add(LeaseTime)
+		if end.After(now) {
+			end = now
+		}
+		l.setShares(end)
+	}
+	l.isPartOver = isOver
+}
+
 // firstExpiry returns when the first loan that this host uses ends; zero if it uses none.
 func (l *Limiter) firstExpiry() time.Time {
 	var first time.Time
@@ -157,9 +172,10 @@
 	return first
 }
 
-// refreshIfDue calls refresh if a loan that this host uses has ended.
+// refreshIfDue calls refresh if a loan that this host uses, or its part, has ended.
 func (l *Limiter) refreshIfDue(now time.Time) {
-	if !l.nextExpiry.IsZero() && elapsed.Between(l.nextExpiry, now) >= 0 {
+	isLoanOver := !l.nextExpiry.IsZero() && elapsed.Between(l.nextExpiry, now) >= 0
+	if isLoanOver || !l.isPartOver && l.isLeaseOver(now) {
 		l.refresh(now)
 	}
 }
--- a/quota/division.go
+++ b/quota/division.go
@@ -23,6 +23,9 @@
 	Joined map[string]uint64
 	// Part is this host's part of each rate, from 0 to 1.
 	Part float64
+	// LeaseConfirmedAt is when the [Lease] of the part was last confirmed. The part is used without a limit in time if it is
+	// zero.
+	LeaseConfirmedAt time.Time
 	// IsAgreed is true if this host has the part that it should have, and the other members count
 	// on the same holders.
 	IsAgreed bool
@@ -115,10 +118,13 @@
 	return len(l.division.Members) == 0 || l.division.Part > 0 && l.usablePart(l.now()) == 0
 }
 
-// usablePart returns this host's part. After a restart it is zero until the loans of the process
+// usablePart returns this host's part, zero once its lease has ended. After a restart it is zero until the loans of the process
 // before have ended: each other member has responded, and so knows that it ended, or the
 // longest time of a loan is over.
 func (l *Limiter) usablePart(now time.Time) float64 {
+	if l.isPartOver || l.isLeaseOver(now) {
+		return 0
+	}
 	if !l.division.IsRestart || l.arePriorLoansOver {
 		return l.division.Part
 	}
@@ -130,3 +136,9 @@
 	}
 	return 0
 }
+
+// isLeaseOver reports whether the lease of this host's part has ended.
+func (l *Limiter) isLeaseOver(now time.Time) bool {
+	confirmedAt := l.division.LeaseConfirmedAt
+	return !confirmedAt.IsZero() && !isLeaseValid(confirmedAt, now)
+}
--- a/quota/part_claim.go
+++ b/quota/part_claim.go
@@ -155,6 +155,9 @@
 	p.granted = min(p.granted, part)
 }
 
+// EndLease notes that this host may use no part until a list confirms what its record states, since others may have it.
+func (p *PartClaim) EndLease() { p.granted = 0 }
+
 // Stated returns the part that this host's record states.
 func (p *PartClaim) Stated() int { return p.stated }
 
--- a/quota/part_statement.go
+++ b/quota/part_statement.go
@@ -60,6 +60,8 @@
 	RecordVersion uint64 `json:"record-version"`
 	// Part is the part that the answering host may use.
 	Part int `json:"part"`
+	// Holders is the hash of the hosts among which the answering host counts the rates as divided.
+	Holders uint64 `json:"holders,omitempty"`
 	// Members are the names of the hosts that may be running, as far as the answering one knows.
 	Members []string `json:"members"`
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -122,6 +122,8 @@
 	// hasResponded holds the hosts that have responded to a loan request of this process.
 	hasResponded      map[string]bool
 	arePriorLoansOver bool
+	// isPartOver is true once the lease of this host's part has ended.
+	isPartOver bool
 	// canBorrow is true once a host with a part has responded.
 	canBorrow bool
 	// borrowers and lenders hold the loans to and from other hosts, by name. The first of
