Forward request targets byte for byte, and headers whatever their text

Headers and cookies with that text did not arrive; an empty query lost its question mark; |, ^ and " in a path arrived encoded, %2F beside them as a slash.

Cause: the filter of the product's own interface compared the name of its parameter with whole pairs, in any case and encoding, and was in force on the users' platform, where keys come in one header only. And targets were built anew from url.URL. Evidence: the target that a server records, for a request with the text as a name, a value, a header and a cookie.

Change: a request carries its target as it came, and the client writes it so; routes are chosen by it. With Dialect.KeepsTargets headers are left out only if they concern one connection, are the key's, or contain the caller's key. On the own interface, the parameter or cookie of exactly that name is the key. A target that contains the caller's key gets 400 on the users' platform.

Why it works: nothing parses a target in order to write it. net/http puts a scheme before targets that start with two slashes; these bytes are cut from the request line.

--- a/bufferproxy/errors.go
+++ b/bufferproxy/errors.go
@@ -36,6 +36,12 @@
 
 func (*UnknownKeyError) Error() string { return "the API key is missing or belongs to no team" }
 
+// KeyInTargetError reports a request whose path or query has the API key of its team, which no backend server may get. It does
+// not contain the key, so that the key does not get into logs.
+type KeyInTargetError struct{}
+
+func (*KeyInTargetError) Error() string { return "the path or the query has the API key" }
+
 // RateLimitError reports a request that exceeds its team's rate.
 type RateLimitError struct {
 	Team string
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"trefoilline.example/trefoilline/exchange"
@@ -119,7 +120,7 @@
 	if s.index == nil {
 		return &StartingError{}
 	}
-	route, found := s.index.Route(s.callerRequest.Host, s.callerRequest.URL.EscapedPath())
+	route, found := s.index.Route(s.callerRequest.Host, exchange.TargetPath(s.callerRequest))
 	if !found {
 		return &NoRouteError{
 			Host: s.callerRequest.Host,
@@ -139,7 +140,7 @@
 	team, found := s.index.TeamByKey(s.apiKey)
 	if found {
 		s.team = team
-		return nil
+		return s.checkTarget()
 	}
 	if s.route.Public {
 		return nil
@@ -147,6 +148,14 @@
 	return &UnknownKeyError{}
 }
 
+// checkTarget rejects a request whose target has its key. It can neither be forwarded with the key nor changed.
+func (s *requestState) checkTarget() error {
+	if s.apiKey != "" && strings.Contains(s.callerRequest.RequestURI, s.apiKey) {
+		return &KeyInTargetError{}
+	}
+	return nil
+}
+
 // setDeadline sets the deadline of the request by the caller's timeout or the route's,
 // whichever is shorter. Zero means that there is no timeout; if there is neither, the
 // deadline is the start of the request.
--- a/bufferproxy/respond.go
+++ b/bufferproxy/respond.go
@@ -108,6 +108,7 @@
 	var rateLimit *RateLimitError
 	var noRoute *NoRouteError
 	var unknownKey *UnknownKeyError
+	var keyInTarget *KeyInTargetError
 	var tooLarge *http.MaxBytesError
 	var body *BodyError
 	var memory *MemoryError
@@ -128,7 +129,7 @@
 		s.abandonBody()
 		// With jitter, so that requests that are rejected together don't return together.
 		s.respondError(http.StatusServiceUnavailable, memorybudget.Window+rand.N(memorybudget.Window/2), cause)
-	case errors.As(cause, &body):
+	case errors.As(cause, &body), errors.As(cause, &keyInTarget):
 		s.respondError(http.StatusBadRequest, 0, cause)
 	default:
 		s.respondError(http.StatusServiceUnavailable, s.retryAfter(cause), cause)
--- a/exchange/filter.go
+++ b/exchange/filter.go
@@ -52,11 +52,48 @@
 		}
 		forwarded[name] = kept
 	}
-	if _, isSet := forwarded["User-Agent"]; !isSet {
-		// An empty value keeps net/http from sending its default User-Agent.
-		forwarded["User-Agent"] = []string{""}
+	return withUserAgent(forwarded)
+}
+
+// withUserAgent adds an empty User-Agent, which keeps net/http from sending its default one, if there is none.
+func withUserAgent(h http.Header) http.Header {
+	if _, isSet := h["User-Agent"]; !isSet {
+		h["User-Agent"] = []string{""}
 	}
-	return forwarded
+	return h
+}
+
+// removeKey removes the values of headers or trailers that contain the caller's key, and from lines of cookies only the cookies that
+// do. It leaves all else as it is, also trailers that have no value yet.
+func removeKey(h http.Header, key string) http.Header {
+	if key == "" {
+		return h
+	}
+	for name, values := range h {
+		hasKey := func(value string) bool { return strings.Contains(value, key) }
+		if !slices.ContainsFunc(values, hasKey) {
+			continue
+		}
+		if name == "Cookie" {
+			values = mapPairs(values, ";", hasKey)
+		}
+		if h[name] = slices.DeleteFunc(slices.Clone(values), hasKey); len(h[name]) == 0 {
+			delete(h, name)
+		}
+	}
+	return h
+}
+
+// mapPairs returns the lines without the pairs for which remove returns true, and without lines of which nothing is left.
+func mapPairs(lines []string, separator string, remove func(pair string) bool) []string {
+	var kept []string
+	for _, line := range lines {
+		pairs := slices.DeleteFunc(strings.Split(line, separator), remove)
+		if line = strings.TrimSpace(strings.Join(pairs, separator)); line != "" {
+			kept = append(kept, line)
+		}
+	}
+	return kept
 }
 
 // filterTrailer returns a copy of a caller's trailers, filtered as FilterHeader
@@ -102,7 +139,7 @@
 	}
 	var kept []string
 	for _, value := range values {
-		if containsKey(value, key) || containsKeyName(value) || isBearer(name, value) {
+		if containsKey(value, key) || isBearer(name, value) {
 			continue
 		}
 		kept = append(kept, value)
@@ -131,14 +168,15 @@
 	return strings.EqualFold(scheme, bearerScheme)
 }
 
-// containsKeyName reports whether a value, such as a Referer, contains the name
-// that the query parameter and the cookie with the API key share. Case, percent
-// encoding and underscores in place of hyphens make no difference.
-func containsKeyName(value string) bool {
-	if strings.Contains(value, "_") {
-		value = strings.ReplaceAll(value, "_", "-")
+// isKeyPair reports whether a pair is the query parameter or the cookie with the API key, which share their name, or contains the
+// API key.
+func isKeyPair(pair, key string) bool {
+	name, _, _ := strings.Cut(pair, "=")
+	name = strings.TrimSpace(name)
+	if decoded, err := url.QueryUnescape(name); err == nil {
+		name = decoded
 	}
-	return containsDecoded(value, header.APIKeyParameter)
+	return name == header.APIKeyParameter || containsKey(pair, key)
 }
 
 // containsKey reports whether the text contains the API key. An empty key is
@@ -200,14 +238,13 @@
 	return result.String()
 }
 
-// FilterQuery removes the parameters that can contain the caller's API key from
-// a raw query. All others stay byte for byte.
+// FilterQuery removes the parameter in which callers may send their API key, and those that contain it, from a raw query. All others stay byte for byte.
 func FilterQuery(query, key string) string {
 	return removeKeyPairs(query, key, "&", ";")
 }
 
-// filterCookies removes the cookies that can contain the caller's API key, and
-// the header lines that are empty after that.
+// filterCookies removes the cookie in which callers may send their API key, those that contain it, and the header lines that
+// are empty after that.
 func filterCookies(lines []string, key string) []string {
 	var kept []string
 	for _, line := range lines {
@@ -219,30 +256,23 @@
 }
 
 // removeKeyPairs splits the list at separators[0], each of these parts at
-// separators[1], and so on, and removes the parts that contain the API key or its
-// name.
+// separators[1], and so on, and removes the parts for which isKeyPair holds.
 func removeKeyPairs(list, key string, separators ...string) string {
 	if list == "" {
 		return list
 	}
 	if len(separators) == 0 {
-		if containsKeyOrKeyName(list, key) {
+		if isKeyPair(list, key) {
 			return ""
 		}
 		return list
 	}
-	pairs := strings.Split(list, separators[0])
-	pairs = slices.DeleteFunc(pairs, func(pair string) bool {
-		return pair != "" && containsKeyOrKeyName(pair, key) && removeKeyPairs(pair, key, separators[1:]...) == ""
-	})
-	for i, pair := range pairs {
-		pairs[i] = removeKeyPairs(pair, key, separators[1:]...)
+	var kept []string
+	for _, pair := range strings.Split(list, separators[0]) {
+		filtered := removeKeyPairs(pair, key, separators[1:]...)
+		if isRemoved := pair != "" && filtered == ""; !isRemoved {
+			kept = append(kept, filtered)
+		}
 	}
-	return strings.Join(pairs, separators[0])
-}
-
-// containsKeyOrKeyName reports whether the pair contains the API key or the name
-// of its query parameter and cookie.
-func containsKeyOrKeyName(pair, key string) bool {
-	return containsKeyName(pair) || containsKey(pair, key)
+	return strings.Join(kept, separators[0])
 }
--- a/exchange/request.go
+++ b/exchange/request.go
@@ -15,8 +15,10 @@
 	// ID header, [header.Dialect.RequestID].
 	ID     string
 	Method string
-	// URL supplies the path and the query; its scheme and host are ignored.
-	URL *url.URL
+	// Target is the path and the query as the caller sent them. If it is empty, URL supplies them, whose scheme and host are
+	// ignored.
+	Target string
+	URL    *url.URL
 	// Host is the value of the caller's Host header.
 	Host   string
 	Header http.Header
@@ -26,6 +28,8 @@
 	// to a backend server. Neither are, whatever they contain, headers whose
 	// name starts with Trefoilline-, query parameters and cookies named
 	// trefoilline-key, and Authorization headers with the scheme Bearer.
+	// With [header.Dialect.KeepsTargets], the target is forwarded as it is, and of the
+	// headers all but that of the key and those that contain it.
 	APIKey string
 	// HeaderOverrides replaces headers of the caller in the next attempt.
 	HeaderOverrides http.Header
@@ -60,6 +64,7 @@
 	request := &Request{
 		ID:     id,
 		Method: r.Method,
+		Target: Target(r),
 		URL:    r.URL,
 		Host:   r.Host,
 		Header: r.Header,
--- a/exchange/request_body.go
+++ b/exchange/request_body.go
@@ -53,8 +53,11 @@
 
 // forwardedTrailer returns the trailers that may be forwarded.
 func (a *attempt) forwardedTrailer(trailer http.Header) http.Header {
-	if a.request.ToEntryHost {
+	switch {
+	case a.request.ToEntryHost:
 		return removeHopByHop(trailer)
+	case a.client.dialect().KeepsTargets:
+		return removeKey(removeHopByHop(trailer), a.request.APIKey)
 	}
 	return filterTrailer(trailer, a.request.APIKey)
 }
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
-	"net/url"
 	"time"
 
 	"trefoilline.example/trefoilline/header"
@@ -112,24 +111,21 @@
 // buildRequest returns the HTTP request for the backend server.
 func (a *attempt) buildRequest(ctx context.Context) *http.Request {
 	r := a.request
-	forwarded, query := filterRequest(r)
+	dialect := a.client.dialect()
 	outgoing := &http.Request{
-		Method: r.Method,
-		URL: &url.URL{
-			Scheme:   "http",
-			Host:     a.server.String(),
-			Path:     r.URL.Path,
-			RawPath:  r.URL.RawPath,
-			RawQuery: query,
-		},
+		Method:     r.Method,
+		URL:        a.attemptURL(),
 		Host:       r.Host,
-		Header:     forwarded,
+		Header:     a.forwardedHeader(),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 	}
+	if !r.ToEntryHost && !dialect.KeepsTargets {
+		outgoing.URL.Opaque = filterTarget(outgoing.URL.Opaque, r.APIKey)
+		outgoing.URL.RawQuery = FilterQuery(outgoing.URL.RawQuery, r.APIKey)
+	}
 	a.setBody(outgoing)
-	dialect := a.client.dialect()
 	if !r.ToEntryHost {
 		outgoing.Header.Del(dialect.APIKey)
 	}
@@ -144,12 +140,16 @@
 	return outgoing.WithContext(ctx)
 }
 
-// filterRequest returns the headers and the raw query to forward.
-func filterRequest(r *Request) (http.Header, string) {
-	if r.ToEntryHost {
-		return removeHopByHop(r.Header), r.URL.RawQuery
+// forwardedHeader returns the headers to forward.
+func (a *attempt) forwardedHeader() http.Header {
+	r := a.request
+	switch {
+	case r.ToEntryHost:
+		return removeHopByHop(r.Header)
+	case a.client.dialect().KeepsTargets:
+		return withUserAgent(removeKey(removeHopByHop(r.Header), r.APIKey))
 	}
-	return FilterHeader(r.Header, r.APIKey), FilterQuery(r.URL.RawQuery, r.APIKey)
+	return FilterHeader(r.Header, r.APIKey)
 }
 
 // handleError returns the outcome of an attempt that got no response.
--- a/exchange/write_guard.go
+++ b/exchange/write_guard.go
@@ -17,6 +17,8 @@
 	conn       *guardedConn
 	hasWritten bool
 	blocked    bool
+	// cut is not sent of the request line. It is set before the attempt has a connection.
+	cut requestLineCut
 	// activeWrites counts the writes that have begun and not ended.
 	activeWrites int
 }
@@ -46,6 +48,15 @@
 	return true
 }
 
+// takeCut returns what is not sent of the request line, and a zero value after the first call.
+func (g *writeGuard) takeCut() requestLineCut {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cut := g.cut
+	g.cut = requestLineCut{}
+	return cut
+}
+
 // endWrite ends an active write that wrote n bytes.
 func (g *writeGuard) endWrite(n int) {
 	g.mu.Lock()
@@ -120,9 +131,13 @@
 	if g == nil || !g.beginWrite(c) {
 		return 0, &AttemptEndedError{}
 	}
-	n, err := c.Conn.Write(p)
+	sent := g.takeCut().apply(p)
+	n, err := c.Conn.Write(sent)
 	g.endWrite(n)
-	return n, err
+	if err != nil {
+		return n, err
+	}
+	return len(p), nil
 }
 
 // guardingDialer opens guarded connections.
--- a/header/dialect.go
+++ b/header/dialect.go
@@ -25,6 +25,9 @@
 	// APIKey carries the caller's API key. It is removed before a request is sent
 	// to a backend server.
 	APIKey string
+	// KeepsTargets is true if callers send their keys in the header APIKey only, so that no other
+	// header, cookie or query parameter is left out for its name.
+	KeepsTargets bool
 	// CompleteMarker is set by a backend server in each of its complete responses.
 	// Package bufferproxy does not pass on a 2xx response without this header; it does
 	// not check the value.
