Keep the last change of each object, and nothing of what is not in force

Cause: the history of changes for hosts that watch this one held 2,048 of them with whole objects, whatever their bytes and age. Evidence: the growth for a change is the size of the object; a follower given 600 versions of 400 KB keeps 245 MB.

Change: the history holds the last change of each object, which is the object of the copy itself, and removals by number and age. The same kind of fault elsewhere: running requests kept the configuration they came with; changes were encoded for each host that watches; rates, weights and slot times of routes, and what is noted of hosts, were kept for good; removed objects had no bound in bytes.

Why it works: hosts that watch apply changes in order, so those before the last have no effect.

--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -162,11 +162,20 @@
 			return false
 		}
 		if h.index.CompareAndSwap(current, index) {
+			h.forgetOtherRoutes(index.RouteNames())
 			return true
 		}
 	}
 }
 
+// forgetOtherRoutes drops what is kept of routes that are not in force any more.
+func (h *Handler) forgetOtherRoutes(routes map[string]struct{}) {
+	h.routeRates.keep(routes)
+	h.boundRouteRates.keep(routes)
+	h.roundRobin.keep(routes)
+	h.Pool.KeepRoutes(routes)
+}
+
 // Configuration returns the configuration in force; nil if none has been set.
 func (h *Handler) Configuration() *routing.Index {
 	return h.index.Load()
--- a/bufferproxy/record.go
+++ b/bufferproxy/record.go
@@ -58,8 +58,8 @@
 		zap.String("service", s.service),
 		zap.String("team", s.teamName()),
 	}
-	if s.index != nil {
-		fields = append(fields, zap.Uint64("version", uint64(s.index.Version)))
+	if s.version != 0 {
+		fields = append(fields, zap.Uint64("version", uint64(s.version)))
 	}
 	if !s.deadline.IsZero() {
 		fields = append(fields, zap.Duration("allowed", s.deadline.Sub(s.start)))
--- a/bufferproxy/request.go
+++ b/bufferproxy/request.go
@@ -22,8 +22,11 @@
 	// isForwarded is true if another entry host forwarded the request.
 	isForwarded bool
 	start       time.Time
-	// index is the configuration that was in force when the request arrived.
+	// index is the configuration that was in force when the request arrived. It is nil once the route and the team are known, so that
+	// long requests do not keep it in memory. Its version and limits stay.
 	index   *routing.Index
+	version routing.Version
+	limits  routing.Limits
 	route   *routing.Route
 	service string
 	// team is nil if the route is public and the request has no valid API key.
@@ -120,6 +123,7 @@
 	if s.index == nil {
 		return &StartingError{}
 	}
+	s.version, s.limits = s.index.Version, s.index.Limits
 	route, found := s.index.Route(s.callerRequest.Host, exchange.TargetPath(s.callerRequest))
 	if !found {
 		return &NoRouteError{
@@ -127,19 +131,26 @@
 			Path: s.callerRequest.URL.Path,
 		}
 	}
-	s.route = route
+	s.route = keepAlone(route)
 	s.service = s.handler.roundRobin.nextService(route)
 	return nil
 }
 
+// keepAlone returns a copy of a part of a configuration, which does not keep the rest in memory as long as the request lasts.
+func keepAlone[T any](part *T) *T {
+	alone := *part
+	return &alone
+}
+
 // authenticate finds the team by the request's API key. It checks every request, because
 // a valid key in an earlier request on the same connection proves nothing about this
 // one.
 func (s *requestState) authenticate() error {
 	s.apiKey = s.handler.HeaderCodec.ReadAPIKey(s.callerRequest)
 	team, found := s.index.TeamByKey(s.apiKey)
+	s.index = nil
 	if found {
-		s.team = team
+		s.team = keepAlone(team)
 		return s.checkTarget()
 	}
 	if s.route.Public {
@@ -175,7 +186,7 @@
 // stream, which can be sent only once. It also limits the size of the body to the limit in
 // the configuration.
 func (s *requestState) buildServerRequest() error {
-	limit := s.index.Limits.MaxBodyBytes
+	limit := s.limits.MaxBodyBytes
 	if limit > 0 && s.callerRequest.ContentLength > limit {
 		s.abandonBody()
 		return &http.MaxBytesError{
--- a/bufferproxy/route_rates.go
+++ b/bufferproxy/route_rates.go
@@ -1,6 +1,7 @@
 package bufferproxy
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -63,3 +64,13 @@
 	}
 	return perSecond
 }
+
+// keep forgets the rates of all other routes.
+func (r *routeRates) keep(routes map[string]struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.rates, func(route string, _ *meter.Rate) bool {
+		_, isKept := routes[route]
+		return !isKept
+	})
+}
--- a/bufferproxy/weighted_round_robin.go
+++ b/bufferproxy/weighted_round_robin.go
@@ -1,6 +1,7 @@
 package bufferproxy
 
 import (
+	"maps"
 	"sync"
 
 	"trefoilline.example/trefoilline/routing"
@@ -23,6 +24,16 @@
 	service string
 }
 
+// keep forgets the weights of all other routes.
+func (w *weightedRoundRobin) keep(routes map[string]struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	maps.DeleteFunc(w.currentWeights, func(key destinationKey, _ float64) bool {
+		_, isKept := routes[key.route]
+		return !isKept
+	})
+}
+
 // nextService returns the service that gets the next request of the route.
 func (w *weightedRoundRobin) nextService(route *routing.Route) string {
 	if len(route.Destinations) == 1 {
--- a/internal/host/followers.go
+++ b/internal/host/followers.go
@@ -173,6 +173,9 @@
 		zap.Uint64("era", stored.Era()), zap.Uint64("revision", stored.Revision()))
 }
 
+// maxInvalidLogged is of how many invalid objects a host remembers that they were logged. Beyond that they are logged again.
+const maxInvalidLogged = 1024
+
 // logInvalid logs an object of the store that is invalid, once for each of its
 // versions.
 func (h *host) logInvalid(o objectstore.Object, err error) {
@@ -181,7 +184,7 @@
 	if h.invalid.logged[o.Key] == o.Version {
 		return
 	}
-	if h.invalid.logged == nil {
+	if h.invalid.logged == nil || len(h.invalid.logged) >= maxInvalidLogged {
 		h.invalid.logged = make(map[string]objectstore.Version)
 	}
 	h.invalid.logged[o.Key] = o.Version
--- a/internal/host/lease.go
+++ b/internal/host/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -140,11 +141,22 @@
 	if p.answered == nil {
 		p.answered = make(map[netip.AddrPort]time.Time)
 	}
+	forgetOld(p.answered)
 	if sentAt.After(p.answered[from]) {
 		p.answered[from] = sentAt
 	}
 }
 
+// maxTimes is of how many hosts times are kept before those are dropped that are too old for any lease.
+const maxTimes = 1024
+
+// forgetOld drops the times that no longer matter, if there are many.
+func forgetOld[K comparable](times map[K]time.Time) {
+	if len(times) >= maxTimes {
+		maps.DeleteFunc(times, func(_ K, at time.Time) bool { return time.Since(at) > 2*quota.ReclaimTime })
+	}
+}
+
 // answeredAt returns when the last message was sent that a host has answered, zero if there is none.
 func (p *peerMessenger) answeredAt(from netip.AddrPort) time.Time {
 	p.mu.Lock()
@@ -159,6 +171,7 @@
 	if p.questions == nil {
 		p.questions = make(map[string]time.Time)
 	}
+	forgetOld(p.questions)
 	p.questions[name] = time.Now()
 }
 
--- a/internal/host/memory_test.go
+++ b/internal/host/memory_test.go
@@ -22,3 +22,15 @@
 		}.MemoryBudget(), "%v MB", megabytes)
 	}
 }
+
+// TestLargeObjectsLeaveLessForBodies guards against a budget that does not know of the copies of the store's objects.
+func TestLargeObjectsLeaveLessForBodies(t *testing.T) {
+	machine := host.Machine{
+		MemoryMegabytes: 284,
+	}
+	require.Equal(t, machine.MemoryBudget(), machine.MemoryBudgetBeside(1<<20))
+	require.Less(t, machine.MemoryBudgetBeside(8<<20), machine.MemoryBudget())
+	require.Positive(t, machine.MemoryBudgetBeside(1<<30))
+	unknown := host.Machine{}
+	require.Zero(t, unknown.MemoryBudgetBeside(1<<30))
+}
--- a/internal/host/parts.go
+++ b/internal/host/parts.go
@@ -172,6 +172,7 @@
 		division.Members = append(division.Members, m.Name)
 		division.Joined[m.Name] = m.Joined
 	}
+	h.partStatements.Keep(division.Members)
 	division.Holders = h.holders(members)
 	states := h.memberStates(members, division.Holders)
 	target := h.targetPart(states)
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -51,6 +51,8 @@
 	isRelay atomic.Bool
 	// publisher builds the digests while this host is a relay.
 	publisher membership.Publisher
+	// copies are those of the store's objects that were sent last.
+	copies encodedCopies
 
 	mu sync.Mutex
 	// sending holds the addresses to which a heartbeat is being sent.
--- a/internal/host/reclaim.go
+++ b/internal/host/reclaim.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -46,9 +47,11 @@
 		return
 	}
 	now := time.Now()
+	maps.DeleteFunc(r.attemptedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= reclaimInterval })
 	for name, known := range records.known {
 		hasRelaysAndNoPart := r.host.roster.HasRelays() && known.record.Part == 0
-		if name == r.host.settings().Host || hasRelaysAndNoPart || now.Sub(r.attemptedAt[name]) < reclaimInterval {
+		_, wasAttempted := r.attemptedAt[name]
+		if name == r.host.settings().Host || hasRelaysAndNoPart || wasAttempted {
 			continue
 		}
 		r.reclaim(ctx, now, name, known)
--- a/internal/host/record_writer.go
+++ b/internal/host/record_writer.go
@@ -67,6 +67,7 @@
 		}
 		h.removeStopped(ctx)
 		reclaimer.step(ctx)
+		h.updateMemoryLimit()
 		select {
 		case <-ctx.Done():
 		case <-h.recordDue:
--- a/internal/host/reload.go
+++ b/internal/host/reload.go
@@ -95,7 +95,7 @@
 	h.currentSettings.Store(&settings)
 	h.limiter.SetOvershoot(settings.OvershootFraction, settings.OvershootRequests)
 	h.handler.RetryBudget.SetLimits(settings.RetryRatio, settings.RetrySlack)
-	h.handler.Memory.SetLimit(settings.Machine.MemoryBudget())
+	h.updateMemoryLimit()
 	debug.SetMemoryLimit(settings.Machine.RuntimeMemoryLimit())
 }
 
--- a/internal/host/store_reader.go
+++ b/internal/host/store_reader.go
@@ -236,7 +236,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		// An error means that the other host is gone and needs no response.
-		_ = writeJSON(w, r, changes)
+		_ = p.copies.write(w, r, prefix, changes)
 	}
 }
 
--- a/membership/roster.go
+++ b/membership/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -56,11 +57,26 @@
 	defer r.mu.Unlock()
 	r.records = slices.DeleteFunc(slices.Clone(records), func(h HostRecord) bool { return h.Name == r.Self })
 	now := r.now()
+	hasRecord := make(map[string]struct{}, len(r.records))
 	for _, h := range r.records {
+		hasRecord[h.Name] = struct{}{}
 		if _, isKnown := r.recordedAt[h.Name]; !isKnown {
 			r.noteRecord(h.Name, now)
 		}
 	}
+	r.forgetOthers(hasRecord, now)
+}
+
+// forgetOthers drops what is kept of hosts that have no record and were not heard from within [RetentionTime].
+func (r *Roster) forgetOthers(hasRecord map[string]struct{}, now time.Time) {
+	isGone := func(name string) bool {
+		_, isKept := hasRecord[name]
+		return !isKept && now.Sub(r.received[name].heardAt) > RetentionTime
+	}
+	for _, times := range []map[string]time.Time{r.recordedAt, r.selectedAt, r.suspectedAt} {
+		maps.DeleteFunc(times, func(name string, _ time.Time) bool { return isGone(name) })
+	}
+	maps.DeleteFunc(r.received, func(name string, _ receivedHeartbeat) bool { return isGone(name) })
 }
 
 // Receive stores a heartbeat of another host. It returns false and ignores the heartbeat if
--- a/objectstore/follower.go
+++ b/objectstore/follower.go
@@ -135,6 +135,20 @@
 	return all
 }
 
+// Bytes returns how many bytes the copy takes, and what is remembered of objects that were removed.
+func (f *Follower) Bytes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	size := 0
+	for _, o := range f.objects {
+		size += o.size()
+	}
+	for _, r := range f.restore.removed {
+		size += r.last.size()
+	}
+	return size
+}
+
 // ReplaceIfNewer replaces the objects with another follower's copy if that is newer.
 func (f *Follower) ReplaceIfNewer(other VersionedObjects) {
 	f.mu.Lock()
@@ -235,7 +249,7 @@
 		}
 		f.objects[o.Key] = o
 		delete(f.removalTimes, o.Key)
-		f.history.add(o)
+		f.history.add(o, f.now())
 	}
 	f.history.advance(f.nextVersion)
 	if changed {
@@ -258,7 +272,7 @@
 		Version:    o.Version,
 		Deleted:    true,
 		MayBeAlive: mayBeAlive,
-	})
+	}, f.now())
 	if !mayBeAlive {
 		f.drop(o.Key)
 		return
--- a/objectstore/history.go
+++ b/objectstore/history.go
@@ -1,18 +1,28 @@
 package objectstore
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 )
 
-// maxHistory is how many changes a follower keeps for the hosts that watch it. Beyond that
-// number the older half is dropped.
-const maxHistory = 2048
+const (
+	// maxRemovals is how many removals a follower keeps for the hosts that watch it. Beyond that number the older half is dropped.
+	maxRemovals = 2048
+	// removalTime is for how long it keeps them at least, as long as there are not too many. A host that watches it asks at least
+	// every [DefaultWatchWait].
+	removalTime = time.Minute
+)
 
-// changeHistory holds the recent changes of a follower, for other hosts that watch
-// this follower instead of the store.
+// changeHistory holds the recent changes of a follower, for other hosts that watch this follower instead of the store: of each object
+// the last one, since those before it have no effect after it. The states of objects are those of the follower's copy, so they take
+// no memory of their own, however often the objects change.
 type changeHistory struct {
-	changes []Object
+	latest map[string]change
+	// removals is the number of objects in latest that were removed, and droppedAt when the old ones of them were dropped last.
+	removals  int
+	droppedAt time.Time
 	// The changes are complete after startVersion up to and including endVersion.
 	startVersion Version
 	endVersion   Version
@@ -21,16 +31,56 @@
 	updated chan struct{}
 }
 
-func (h *changeHistory) add(o Object) {
-	h.changes = append(h.changes, o)
-	if len(h.changes) > maxHistory {
-		half := len(h.changes) / 2
-		h.startVersion = max(h.startVersion, h.changes[half-1].Version)
-		h.changes = append([]Object(nil), h.changes[half:]...)
+// change is a change of an object that was received at a time.
+type change struct {
+	Object
+	at time.Time
+}
+
+func (h *changeHistory) add(o Object, now time.Time) {
+	if h.latest == nil {
+		h.latest = make(map[string]change)
+	}
+	if h.latest[o.Key].Deleted {
+		h.removals--
+	}
+	h.latest[o.Key] = change{
+		Object: o,
+		at:     now,
+	}
+	if o.Deleted {
+		h.removals++
+		if h.removals > maxRemovals || now.Sub(h.droppedAt) > removalTime {
+			h.dropRemovals(now)
+		}
 	}
 	h.notifyWaiters()
 }
 
+// dropRemovals drops the removals of long ago, and the older half if there are too many. The history then starts after them.
+func (h *changeHistory) dropRemovals(now time.Time) {
+	h.droppedAt = now
+	var removals []change
+	for _, c := range h.latest {
+		if c.Deleted {
+			removals = append(removals, c)
+		}
+	}
+	slices.SortFunc(removals, func(a, b change) int { return cmp.Compare(a.Version, b.Version) })
+	excess := 0
+	if len(removals) > maxRemovals {
+		excess = len(removals) / 2
+	}
+	for i, c := range removals {
+		if i >= excess && now.Sub(c.at) <= removalTime {
+			break
+		}
+		delete(h.latest, c.Key)
+		h.removals--
+		h.startVersion = max(h.startVersion, c.Version)
+	}
+}
+
 // advance records that the changes are complete up to the version.
 func (h *changeHistory) advance(version Version) {
 	h.endVersion = max(h.endVersion, version)
@@ -38,7 +88,7 @@
 
 // reset drops all changes; the history starts after the version.
 func (h *changeHistory) reset(version Version) {
-	h.changes = nil
+	h.latest, h.removals = nil, 0
 	h.startVersion, h.endVersion = version, version
 	h.notifyWaiters()
 }
@@ -50,7 +100,7 @@
 	}
 }
 
-// since returns the changes after the version, or false if the history does not hold
+// since returns the changes after the version, the oldest first, or false if the history does not hold
 // all of them.
 func (h *changeHistory) since(after Version) (VersionedObjects, bool) {
 	if after < h.startVersion || h.endVersion == 0 {
@@ -59,11 +109,12 @@
 	found := VersionedObjects{
 		Next: max(after, h.endVersion),
 	}
-	for _, o := range h.changes {
-		if o.Version > after {
-			found.Objects = append(found.Objects, o)
+	for _, c := range h.latest {
+		if c.Version > after {
+			found.Objects = append(found.Objects, c.Object)
 		}
 	}
+	slices.SortFunc(found.Objects, func(a, b Object) int { return cmp.Compare(a.Version, b.Version) })
 	return found, true
 }
 
--- a/objectstore/objectstore.go
+++ b/objectstore/objectstore.go
@@ -63,6 +63,9 @@
 	MayBeAlive bool `json:"lapsed,omitempty"`
 }
 
+// size returns how many bytes the object takes, without what maps and slices add.
+func (o Object) size() int { return len(o.Key) + len(o.Value) + len(o.Status) }
+
 // Condition says when a write may take effect. A nil condition is [Always].
 type Condition interface{ condition() }
 
--- a/objectstore/restore.go
+++ b/objectstore/restore.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -24,6 +26,10 @@
 // the store is restored from a copy that has it.
 const removalMemory = time.Minute
 
+// maxRemovedBytes is how many bytes the objects have together that a follower remembers in this way. Those of the longest ago are
+// forgotten first.
+const maxRemovedBytes = 4 << 20
+
 // restoreState is what a follower remembers for and of a restore of the store.
 type restoreState struct {
 	// removed holds the last states of the objects that were removed, by key.
@@ -62,6 +68,26 @@
 		last: o,
 		at:   now,
 	}
+	s.forgetExcess()
+}
+
+// forgetExcess forgets the objects of the longest ago that exceed maxRemovedBytes.
+func (s *restoreState) forgetExcess() {
+	size := 0
+	for _, r := range s.removed {
+		size += r.last.size()
+	}
+	if size <= maxRemovedBytes {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(s.removed), func(a, b string) int { return s.removed[a].at.Compare(s.removed[b].at) })
+	for _, key := range keys {
+		if size <= maxRemovedBytes {
+			return
+		}
+		size -= s.removed[key].last.size()
+		delete(s.removed, key)
+	}
 }
 
 // noteRestore records that a list is the first one after a restore, if it is.
--- a/placement/slot_time.go
+++ b/placement/slot_time.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // slotTime estimates how long requests of a route occupy a slot.
 type slotTime struct {
@@ -37,6 +40,16 @@
 	}
 }
 
+// KeepRoutes forgets the slot times of all other routes.
+func (p *Pool) KeepRoutes(routes map[string]struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.slotTimes, func(route string, _ *slotTime) bool {
+		_, isKept := routes[route]
+		return !isKept
+	})
+}
+
 // recordSlotTime adds the latency of a response, as an approximation of the slot time,
 // to the estimates for its route. It ignores errors, responses from other regions, and
 // responses from servers that had queued requests.
--- a/quota/division.go
+++ b/quota/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -72,9 +73,22 @@
 		l.StartedAt = now
 	}
 	l.division = division
+	l.forgetOthers()
 	l.refresh(now)
 }
 
+// forgetOthers drops what is kept of hosts that are not members and of which this host borrows nothing.
+func (l *Limiter) forgetOthers() {
+	isMember := make(map[string]bool, len(l.division.Members))
+	for _, name := range l.division.Members {
+		isMember[name] = true
+	}
+	maps.DeleteFunc(l.hasResponded, func(name string, _ bool) bool { return !isMember[name] })
+	maps.DeleteFunc(l.lenders, func(name string, s *lenderState) bool {
+		return !isMember[name] && len(s.loan.shares) == 0 && !s.usesLess
+	})
+}
+
 // DivisionHash returns the hash of the holders on which this host counts, zero as long as what it
 // has lent exceeds its part among them. It also reports whether the hosts agree on it, and this
 // one has its part.
--- a/quota/part_statement.go
+++ b/quota/part_statement.go
@@ -1,6 +1,10 @@
 package quota
 
-import "sync"
+import (
+	"maps"
+	"slices"
+	"sync"
+)
 
 // PartStatement is a part of the rates that a host may use, and the version of the record that states it.
 type PartStatement struct {
@@ -45,6 +49,13 @@
 	s.byHost[host] = last
 }
 
+// Keep forgets what all other hosts said.
+func (s *PartStatements) Keep(hosts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.byHost, func(name string, _ heardStatement) bool { return !slices.Contains(hosts, name) })
+}
+
 // Of returns what a host said last, zero if nothing is known.
 func (s *PartStatements) Of(host string) PartStatement {
 	s.mu.Lock()
--- a/routing/index.go
+++ b/routing/index.go
@@ -53,6 +53,15 @@
 	}
 }
 
+// RouteNames returns the names of all routes.
+func (x *Index) RouteNames() map[string]struct{} {
+	names := make(map[string]struct{}, len(x.Routes))
+	for _, r := range x.Routes {
+		names[r.Name] = struct{}{}
+	}
+	return names
+}
+
 // Route returns the route of the host with the longest prefix that matches the path. The
 // host may include a port, which is ignored.
 func (x *Index) Route(host, path string) (*Route, bool) {
