Take answers with statuses that HTTP does not have for broken ones

Callers saw: when a server answered with status 000, their connections were closed without an answer, and the memory of each such answer was never given back to the budget. 600 reached callers as it was.

Cause: net/http takes any three characters that are a number for a status, and nothing checked it; a handler that passes one below 100 on panics.

A request releases what it holds also if its handler panics. Loans need status 200.

--- a/bufferproxy/handler.go
+++ b/bufferproxy/handler.go
@@ -202,9 +202,15 @@
 		start:         h.now(),
 		cancel:        func() {},
 	}
+	// Also if the request ends with a panic, what it holds is released.
+	defer s.end()
 	s.serve()
+}
+
+// end releases what the request holds.
+func (s *requestState) end() {
 	s.recordCallerLoad()
-	h.cancels.Delete(s)
+	s.handler.cancels.Delete(s)
 	s.cancel()
 	s.endTransfers()
 }
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -33,6 +33,10 @@
 
 // handleResponse returns the outcome of an attempt that got a response.
 func (a *attempt) handleResponse(response *http.Response) Outcome {
+	if err := header.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return a.handleError(err)
+	}
 	if cause := a.checkRequestID(response); cause != nil {
 		// Open connections to this backend server may return responses in the
 		// wrong order, and the server may no longer echo request IDs.
--- a/internal/host/loans.go
+++ b/internal/host/loans.go
@@ -133,6 +133,11 @@
 		return quota.LoanResponse{}, err
 	}
 	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return quota.LoanResponse{}, &CopyStatusError{
+			Status: answer.StatusCode,
+		}
+	}
 	var response quota.LoanResponse
 	if err := readJSON(answer.Body, answer.Header.Get("Content-Encoding"), maxLoanBytes, &response); err != nil {
 		return quota.LoanResponse{}, err
--- a/internal/host/peers.go
+++ b/internal/host/peers.go
@@ -271,7 +271,7 @@
 		return 0, nil
 	}
 	p.host.roster.RecordRoundTrip(address, time.Since(start))
-	if response.StatusCode/100 == 2 {
+	if response.StatusCode == http.StatusOK || response.StatusCode == http.StatusNoContent {
 		p.noteAnswer(address, start)
 	}
 	return response.StatusCode, content
--- a/objectstore/response.go
+++ b/objectstore/response.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"net/http"
+
+	"trefoilline.example/trefoilline/header"
 )
 
 // maxBodyReadSize limits two reads of a response body, in bytes: that of an error
@@ -46,6 +48,11 @@
 		}
 	}
 	defer response.Body.Close()
+	if err := header.CheckStatus(response.StatusCode); err != nil {
+		return &noValidResponseError{
+			Cause: err,
+		}
+	}
 	if response.StatusCode != http.StatusOK {
 		return parseError(response, key)
 	}
