Limit the lines of response heads, and count headers in the memory budget

Cause: a head is limited to 128 KiB, but a line of six bytes takes some 170 once it is parsed, and headers were copied; the budget counted bodies only. Evidence: about 3.5 MB for each answer of 126 KB.

Change: the connection counts the lines of heads while it reads, interim ones too, and ends at 1,000. The headers of a response are not copied, and count in the budget.

--- a/bufferproxy/forward.go
+++ b/bufferproxy/forward.go
@@ -195,7 +195,7 @@
 // readComplete reads the whole body of a response into memory. It returns an error if the response
 // is incomplete, or has a status 2xx and lacks the header that marks it as complete.
 func (s *requestState) readComplete(o *exchange.Response) (*response, error) {
-	body, err := s.readResponseBody(o, o.Length)
+	body, err := s.readResponseBody(o, o.Header, o.Length)
 	if err != nil {
 		return nil, err
 	}
--- a/bufferproxy/response_body.go
+++ b/bufferproxy/response_body.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 
 	"trefoilline.example/trefoilline/memorybudget"
 	"trefoilline.example/trefoilline/routing"
@@ -63,13 +64,27 @@
 	return nil
 }
 
-// readResponseBody reads a response body into memory, until its end or until it is too large. It releases the memory of the
-// response to an earlier attempt.
+// bytesPerHeader is what a header takes in memory besides its name and its value.
+const bytesPerHeader = 64
+
+// headBytes returns how many bytes the headers of a response take.
+func headBytes(h http.Header) int64 {
+	size := 0
+	for name, values := range h {
+		for _, value := range values {
+			size += len(name) + len(value) + bytesPerHeader
+		}
+	}
+	return int64(size)
+}
+
+// readResponseBody reads a response body into memory, until its end or until it is too large. The memory of the headers counts
+// too. It releases the memory of the response to an earlier attempt.
 //
 // A backend server may send bytes without end. Each such response takes memory until it is
 // dropped, and many servers may do so at the same time, so all responses share the memory budget, which
 // keeps some for the starts of responses.
-func (s *requestState) readResponseBody(body io.Reader, declaredLength int64) (*responseBody, error) {
+func (s *requestState) readResponseBody(body io.Reader, header http.Header, declaredLength int64) (*responseBody, error) {
 	if s.answer != nil {
 		s.answer.Close()
 	}
@@ -84,9 +99,13 @@
 		return nil, &ResponseTooLargeError{}
 	}
 	content := &responseBody{}
+	// The head is reserved with the first piece of the body, and released with the response.
+	head := headBytes(header)
 	for {
 		size := nextChunkSize(content.size, declaredLength)
-		if err := s.answer.Reserve(s.ctx, size); err != nil {
+		err := s.answer.Reserve(s.ctx, size+head)
+		head = 0
+		if err != nil {
 			s.handler.recordMemoryRefusal("response", err)
 			return nil, &ResponseMemoryError{
 				Received: content.size,
--- a/exchange/filter.go
+++ b/exchange/filter.go
@@ -118,15 +118,20 @@
 	if forwarded == nil {
 		forwarded = make(http.Header)
 	}
+	return deleteHopByHop(forwarded)
+}
+
+// deleteHopByHop deletes the same headers from h, and returns it.
+func deleteHopByHop(h http.Header) http.Header {
 	for _, line := range h["Connection"] {
 		for name := range strings.SplitSeq(line, ",") {
-			forwarded.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopByHop {
-		forwarded.Del(name)
+		h.Del(name)
 	}
-	return forwarded
+	return h
 }
 
 // filterValues returns the values of a header that can't contain the API key.
--- /dev/null
+++ b/exchange/head_limit.go
@@ -0,0 +1,77 @@
+package exchange
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// maxHeadLines limits the lines of the head of a response, together with those of interim responses before it. Once it is parsed, a short
+// line takes many times its bytes.
+const maxHeadLines = 1000
+
+// HeadTooLongError reports a response whose head has more lines than are read.
+type HeadTooLongError struct {
+	Lines int
+}
+
+func (e *HeadTooLongError) Error() string {
+	return fmt.Sprintf("the head of the response was dropped after %d lines", e.Lines)
+}
+
+// statusLength is the length of the part of a status line that tells an interim response from others, as "HTTP/1.1 1".
+const statusLength = len("HTTP/1.1 1")
+
+// headCounter counts the lines of the heads of a response, up to the end of the final one. The zero value is at the start of a response.
+type headCounter struct {
+	lines int
+	// status is the start of the status line of the current head.
+	status []byte
+	// hasStatus is true once the status line has ended, lineBytes is the length of the current line without its end, and isOver is
+	// true once the final head has ended.
+	hasStatus bool
+	lineBytes int
+	isOver    bool
+}
+
+// count counts the lines in bytes that were read. It returns a [HeadTooLongError] if there are too many.
+func (h *headCounter) count(p []byte) error {
+	for len(p) > 0 && !h.isOver {
+		line, rest, hasEnd := bytes.Cut(p, []byte("\n"))
+		h.addToLine(line)
+		if hasEnd {
+			h.endLine()
+		}
+		if h.lines > maxHeadLines {
+			return &HeadTooLongError{
+				Lines: h.lines,
+			}
+		}
+		p = rest
+	}
+	return nil
+}
+
+func (h *headCounter) addToLine(p []byte) {
+	if !h.hasStatus {
+		missing := min(statusLength-len(h.status), len(p))
+		h.status = append(h.status, p[:missing]...)
+	}
+	h.lineBytes += len(bytes.TrimSuffix(p, []byte("\r")))
+}
+
+func (h *headCounter) endLine() {
+	h.lines++
+	isEmpty := h.lineBytes == 0
+	h.lineBytes = 0
+	if !isEmpty {
+		h.hasStatus = true
+		return
+	}
+	h.isOver = !h.isInterim()
+	h.status, h.hasStatus = h.status[:0], false
+}
+
+// isInterim reports whether another head follows the current one.
+func (h *headCounter) isInterim() bool {
+	return h.hasStatus && len(h.status) == statusLength && h.status[statusLength-1] == '1'
+}
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -123,7 +123,7 @@
 func (a *attempt) newResponse(response *http.Response) *Response {
 	r := &Response{
 		Status:       response.StatusCode,
-		Header:       removeHopByHop(response.Header),
+		Header:       deleteHopByHop(response.Header),
 		Length:       response.ContentLength,
 		attempt:      a,
 		httpResponse: response,
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -223,6 +223,9 @@
 // wrapError wraps the transport's error in a [TransferError] if the attempt had a
 // connection, and in a [ConnectError] otherwise.
 func (a *attempt) wrapError(err error) error {
+	if tooLong := a.guard.headError(); tooLong != nil {
+		err = tooLong
+	}
 	if a.guard.hasConnection() {
 		return &TransferError{
 			Server: a.server,
--- a/exchange/write_guard.go
+++ b/exchange/write_guard.go
@@ -100,17 +100,46 @@
 }
 
 // guardedConn is a connection to a backend server. Its writes need the permission
-// of the guard of the attempt that uses the connection.
+// of the guard of the attempt that uses the connection. It limits the heads of responses.
 type guardedConn struct {
 	net.Conn
 	mu    sync.Mutex
 	guard *writeGuard
+	// head counts the lines of the head of the response to the attempt that uses the connection.
+	head headCounter
+	// headError is not nil once a head had too many lines.
+	headError error
 }
 
 func (c *guardedConn) setGuard(g *writeGuard) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.guard = g
+	c.guard, c.head = g, headCounter{}
+}
+
+// Read reads from the connection. It returns a [HeadTooLongError] if the head of a response has too many lines.
+func (c *guardedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if tooLong := c.head.count(p[:n]); tooLong != nil {
+		c.headError = tooLong
+		return 0, tooLong
+	}
+	return n, err
+}
+
+// headError returns the [HeadTooLongError] of the attempt's connection, or nil. What the transport returns does not always tell.
+func (g *writeGuard) headError() error {
+	g.mu.Lock()
+	c := g.conn
+	g.mu.Unlock()
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headError
 }
 
 // closeFor closes the connection, unless another attempt uses it by now.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -29,6 +29,9 @@
 	keepAliveProbes = 2
 )
 
+// maxHeaderBytes limits the headers of a response.
+const maxHeaderBytes = 64 << 10
+
 // New returns a transport. The dialTimeout limits the time to open a connection, idleTimeout
 // is how long an unused connection is kept, and maxIdlePerHost is the largest number of
 // unused connections that are kept to each address.
@@ -43,9 +46,10 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdlePerHost,
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
