--- a/exchange/head_limit_test.go
+++ b/exchange/head_limit_test.go
@@ -42,7 +42,7 @@
 	} {
 		outcome := sendHead(t, lines)
 		unknown, isUnknown := outcome.(*exchange.Unknown)
-		require.True(t, isUnknown, "%s: %v", name, outcome)
+		require.True(t, isUnknown, name)
 		var tooLong *exchange.HeadTooLongError
 		require.ErrorAs(t, unknown.Cause, &tooLong, name)
 	}
