Reset the connections of requests that are given up

Cause: an attempt that ends closes its connection, and the bytes of its request stay in the system's send buffer, which sends them again once the cut has healed. Evidence: the requests reach the server 9.6 s after they were sent, when the link is back; the write guard stops writes of the program only.

Change: the connection of an attempt that is given up is reset, also when the transport closes it for the context's end. One whose response has arrived whole is closed as before.

Why it works: a reset connection has no send buffer.

--- a/exchange/response.go
+++ b/exchange/response.go
@@ -172,6 +172,7 @@
 	}
 	if err == nil {
 		r.isComplete = true
+		r.attempt.guard.isComplete.Store(true)
 		return io.EOF
 	}
 	r.brokenByServer = r.attempt.outgoing.Context().Err() == nil
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -77,6 +77,7 @@
 	a.transport, a.echoesID = c.selectTransport(server, request.canReuseConnection(c.ReuseForNonIdempotent))
 	inner, cancel := context.WithCancelCause(ctx)
 	a.cancel = cancel
+	a.guard.context = inner
 	trace := &httptrace.ClientTrace{
 		GotConn: a.useConnection,
 	}
--- a/exchange/write_guard.go
+++ b/exchange/write_guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"trefoilline.example/trefoilline/header"
@@ -17,6 +18,10 @@
 	conn       *guardedConn
 	hasWritten bool
 	blocked    bool
+	// context is that of the attempt; nil if it never ends before the attempt does.
+	context context.Context
+	// isComplete is true once the response has arrived whole.
+	isComplete atomic.Bool
 	// cut is not sent of the request line. It is set before the attempt has a connection.
 	cut requestLineCut
 	// activeWrites counts the writes that have begun and not ended.
@@ -147,10 +152,36 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.guard == g {
-		_ = c.Close()
+		c.reset()
+		_ = c.Conn.Close()
 	}
 }
 
+// Close closes the connection, as the transport does when the context of an attempt ends. It resets the connection of an attempt that was
+// given up.
+func (c *guardedConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard != nil && c.guard.isGivenUp() {
+		c.reset()
+	}
+	return c.Conn.Close()
+}
+
+// reset makes the close of the connection reset it, so that the system drops the bytes of the request that the server does not have yet.
+// Otherwise a server that can't be reached for a while would get a request that was given up long ago.
+func (c *guardedConn) reset() {
+	if tcp, isTCP := c.Conn.(interface{ SetLinger(seconds int) error }); isTCP {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// isGivenUp reports whether the attempt has ended without a whole response.
+func (g *writeGuard) isGivenUp() bool {
+	return g.context != nil && g.context.Err() != nil && !g.isComplete.Load()
+}
+
 // Write writes to the connection if the guard allows it. It returns an
 // [AttemptEndedError] if not, or if no attempt uses the connection.
 func (c *guardedConn) Write(p []byte) (int, error) {
