Count stopped hosts among those that must answer for a lease

Found by reading: a host that was cut off while another one was stopped left that one out of those that have to answer, and kept its lease for good, while the other started again and took its part (QUOTA).

--- a/internal/host/lease.go
+++ b/internal/host/lease.go
@@ -96,13 +96,11 @@
 }
 
 // possibleTakers returns those of the members that may remove this host's record: all but those of earlier builds and those that are
-// stopping or have stopped.
+// stopping. One that has stopped may have started again, without this host hearing it.
 func (h *host) possibleTakers(members []membership.HostRecord) []membership.HostRecord {
-	records := h.records.Load()
 	return slices.DeleteFunc(slices.Clone(members), func(m membership.HostRecord) bool {
 		peer, isLive := h.roster.LivePeer(m.Name)
-		hasStopped := records != nil && records.known[m.Name].record.Stopped && !isLive
-		return m.Name == h.settings().Host || !m.Leased || hasStopped || isLive && peer.Draining
+		return m.Name == h.settings().Host || !m.Leased || isLive && peer.Draining
 	})
 }
 
