--- a/exchange/target_test.go
+++ b/exchange/target_test.go
@@ -46,7 +46,7 @@
 			header: r.Header.Clone(),
 		}
 		w.Header().Set(header.RequestID, r.Header.Get(header.RequestID))
-		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 	}))
 	client := newClient(t)
 	client.Dialect = dialect
@@ -82,7 +82,7 @@
 // platformDialect is that of callers who send their keys in one header only.
 func platformDialect() *header.Dialect {
 	return &header.Dialect{
-		RequestID:     "X-Attempt-Id",
+		RequestID:     "Request-Id",
 		Timeout:       header.Timeout,
 		FormatTimeout: header.FormatTimeout,
 		APIKey:        "Authorization",
