Add review case 11: hosts keep the long cookies of callers in memory until they are killed

Cause: placement keeps the rankings of 4,096 affinity keys of each service by a text that is cut out of the caller's Cookie line, and so keeps the whole line.

Case 14 begins its burst after 3 s of usual load now: 416 clients after 245.

--- a/review/_standin3/fleet.go
+++ b/review/_standin3/fleet.go
@@ -37,6 +37,9 @@
 	ended chan struct{}
 }
 
+// bornAt is when all backend servers started.
+var bornAt = time.Now().UnixMilli()
+
 // daemon is the program that the deploy file builds.
 const daemon = "target/trefoillined"
 
@@ -216,11 +219,45 @@
 	return 0
 }
 
+// watchMemory does what the platform does until the channel is closed: it kills the process if it takes more memory than its machine
+// has. It returns then.
+func (h *entryHost) watchMemory(r *record, limit int64, until <-chan struct{}) (peak int64, isKilled bool) {
+	loggedAt := time.Now()
+	for {
+		select {
+		case <-until:
+			return peak, false
+		case <-time.After(memoryInterval):
+		}
+		resident := h.residentBytes()
+		peak = max(peak, resident)
+		if time.Since(loggedAt) > memoryLogInterval {
+			loggedAt = time.Now()
+			r.printf("%s takes %d MB", h.name, resident/1_000_000)
+		}
+		if resident > limit {
+			r.printf("%s takes %d bytes; the platform kills it", h.name, resident)
+			h.kill()
+			return peak, true
+		}
+	}
+}
+
+const (
+	memoryInterval    = 10 * time.Millisecond
+	memoryLogInterval = 3 * time.Second
+)
+
 // register registers a backend server as ready.
 func (f *fleet) register(id, service, zone, address string, slots int) {
+	f.registerAs("ready", id, service, zone, address, slots)
+}
+
+// registerAs registers a backend server in a state.
+func (f *fleet) registerAs(state, id, service, zone, address string, slots int) {
 	f.store.Put("servers", id, map[string]any{
 		"Address": address,
-		"born":    time.Now().UnixMilli(),
+		"born":    bornAt,
 		"Info": map[string]any{
 			"Service": service,
 			"Version": "v1",
@@ -228,7 +265,7 @@
 			"Slots":   slots,
 		},
 		"Status": map[string]any{
-			"State":     "ready",
+			"State":     state,
 			"Sequence":  1,
 			"ColdLeftS": 0,
 		},
--- a/review/_standin3/header_lines.go
+++ b/review/_standin3/header_lines.go
@@ -14,11 +14,12 @@
 
 const (
 	// usualClients send at any time, and burstClients while many users come at once: 1.7 times as many.
-	usualClients = 230
-	burstClients = 391
+	usualClients = 245
+	burstClients = 416
+	burstDelay   = 3 * time.Second
 	// maxHeaderBytes is MaxHeaderBytes of the configuration.
 	maxHeaderBytes = 16384
-	headerTime     = 10 * time.Second
+	headerTime     = 20 * time.Second
 	stockTime      = 8 * time.Second
 	// machineBytes is the memory above which the platform kills the process.
 	machineBytes = 284_000_000
@@ -42,6 +43,7 @@
 		address, err := serve(&workServer{
 			id:   id,
 			runs: runs,
+			work: time.Second,
 		})
 		if err != nil {
 			return false, err
@@ -72,9 +74,18 @@
 		end:    time.Now().Add(headerTime),
 	}
 	for n := range clients {
+		if n == usualClients {
+			time.Sleep(burstDelay)
+			r.printf("many users come at once")
+		}
 		c.ends.Go(func() { c.send(fmt.Sprintf("client-%d", n)) })
 	}
-	peak, isKilled := c.watchMemory()
+	finished := make(chan struct{})
+	go func() {
+		c.ends.Wait()
+		close(finished)
+	}()
+	peak, isKilled := h.watchMemory(r, machineBytes, finished)
 	c.ends.Wait()
 	r.printf("peak memory %d MB of %d, killed: %v; answers %d, requests of kept connections that ran and whose connection ended without an answer: %d",
 		peak/1_000_000, machineBytes/1_000_000, isKilled, c.answered.Load(), c.lost.Load())
@@ -82,21 +93,6 @@
 	return isKilled && c.lost.Load() > 3, nil
 }
 
-// watchMemory does what the platform does: it kills the process if it takes more memory than its machine has.
-func (c *stockClients) watchMemory() (peak int64, isKilled bool) {
-	for time.Now().Before(c.end) {
-		resident := c.host.residentBytes()
-		peak = max(peak, resident)
-		if resident > machineBytes {
-			c.record.printf("the host takes %d bytes; the platform kills it", resident)
-			c.host.kill()
-			return peak, true
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	return peak, false
-}
-
 // stockClients are the clients, and what became of their requests.
 type stockClients struct {
 	record         *record
@@ -166,10 +162,11 @@
 	return isRun
 }
 
-// workServer works on each request for a second.
+// workServer works on each request for a time.
 type workServer struct {
 	id   string
 	runs *runCount
+	work time.Duration
 }
 
 func (s *workServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -180,7 +177,7 @@
 		return
 	}
 	s.runs.ids.Store(id, true)
-	time.Sleep(time.Second)
+	time.Sleep(s.work)
 	w.Header().Set("X-Response-Seal", "seal-of-"+s.id)
 	w.Header().Set("X-Server-Load", "1,0,4")
 	// An error means that the caller is gone.
--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -31,6 +31,7 @@
 	"slow-readers":  playSlowReaders,
 	"early-answers": playEarlyAnswers,
 	"header-lines":  playHeaderLines,
+	"affinity-keys": playAffinityKeys,
 }
 
 const arguments = 3
