Add review case 12: an entry that can't be read keeps whole responses of the store in memory

Cause: what json.Unmarshal can't decode is decoded part by part, and the sound entries of such a response are slices of all of its bytes, which stay as long as the entries do.

--- a/review/_standin3/main.go
+++ b/review/_standin3/main.go
@@ -32,6 +32,7 @@
 	"early-answers": playEarlyAnswers,
 	"header-lines":  playHeaderLines,
 	"affinity-keys": playAffinityKeys,
+	"foreign-entry": playForeignEntry,
 }
 
 const arguments = 3
