--- a/review/_standin3/fleet.go
+++ b/review/_standin3/fleet.go
@@ -134,7 +134,10 @@
 	return h
 }
 
-// start starts the processes of all hosts and waits until they are ready.
+// stableTime is longer than StableWindowS, from which on after their start machines are in touch.
+const stableTime = 5 * time.Second
+
+// start starts the processes of all hosts, and waits until they are ready and in touch.
 func (f *fleet) start() error {
 	var seeds []any
 	for _, h := range f.hosts {
@@ -151,6 +154,7 @@
 			return err
 		}
 	}
+	time.Sleep(stableTime)
 	return nil
 }
 
