Do not take the loss of a connection for the end of a response

Callers saw: a server answered a long upload at once, with 200 and without a length, sent a part of the body, and reset the connection while the upload was still being written. They got the part as a complete answer.

Cause: such a response ends with its connection. The system tells the error of a connection once, to the first call that asks. While an upload is written as fast as the server takes it, that is a write, and the read that follows gets the plain end. That the write failed can't be relied on: the reader may see the end before the writer has its error.

Evidence: with uploads of 16 MB and a reset after 20,000 bytes and 0.1 s, 8 of 8 callers got the part as 200, by way of another host 4 of 8. A connection on which a write got the error, of a reset or of TCP_USER_TIMEOUT, returned io.EOF to the next read each time.

Change: internal/transport.Conn counts what is read. At the end of a connection it asks the system for the state of the socket: closed without a FIN is a ConnectionLostError, not io.EOF. All transports use it: to backend servers, other hosts and the store, of the daemons and the commands. A write of 16 MB that the store answered without a body and then reset counted as done; its outcome is unknown now. Three copies of the default transport's settings became transport.NewDefault.

Why it works: the state does not depend on which call got the error. After an orderly end the socket waits for our close. A reset after an orderly end closes it too, but the system has then counted the FIN as one byte more than could be read.

--- a/exchange/client.go
+++ b/exchange/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoilline.example/trefoilline/header"
+	"trefoilline.example/trefoilline/internal/transport"
 )
 
 // Defaults for the fields of [Client] that are zero.
@@ -236,7 +237,7 @@
 		dial = newKeepAliveDialer(orDefault(c.ConnectTimeout, DefaultConnectTimeout)).DialContext
 	}
 	d := &guardingDialer{
-		dial: dial,
+		dial: transport.WithLossDetection(dial),
 	}
 	return &http.Transport{
 		DialContext:            d.dialGuarded,
--- a/fleet/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"trefoilline.example/trefoilline/fleet"
+	"trefoilline.example/trefoilline/internal/transport"
 )
 
 // MessagesPath is the URL path to which hosts send messages of their nodes.
@@ -52,6 +53,9 @@
 	// maxInFlight is the maximum number of requests that are waiting for their
 	// response.
 	maxInFlight = 256
+	// maxIdleConnsPerHost is the largest number of idle connections that are kept to each
+	// host.
+	maxIdleConnsPerHost = 2
 )
 
 // Transport sends and receives the messages of one node. It implements
@@ -75,11 +79,9 @@
 // newHTTPTransport returns a transport that keeps connections open to every
 // host and requests no compression.
 func newHTTPTransport() *http.Transport {
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.Proxy = nil
+	t := transport.NewDefault(maxIdleConnsPerHost)
 	t.DisableCompression = true
 	t.MaxIdleConns = 0
-	t.MaxIdleConnsPerHost = 2
 	return t
 }
 
--- a/internal/fleetauth/secret.go
+++ b/internal/fleetauth/secret.go
@@ -24,6 +24,7 @@
 	"net/http"
 
 	"trefoilline.example/trefoilline/header"
+	"trefoilline.example/trefoilline/internal/transport"
 )
 
 // maxIdleConnsPerHost is the largest number of idle connections that are kept to each
@@ -35,11 +36,9 @@
 var sharedTransport = newSharedTransport()
 
 func newSharedTransport() *http.Transport {
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.Proxy = nil
+	t := transport.NewDefault(maxIdleConnsPerHost)
 	t.DisableCompression = true
 	t.MaxIdleConns = 0
-	t.MaxIdleConnsPerHost = maxIdleConnsPerHost
 	return t
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -1,9 +1,14 @@
 /*
-Package transport returns the HTTP transport of the daemon in package internal/host, for
-requests to the object store and to other hosts. (The daemon in package internal/daemon
-uses the transport of package fleetauth between hosts.) It detects broken connections within
-a few seconds by TCP keep-alive: a machine that has lost power does not close its
-connections, and a firewall or NAT device on the path may forget a connection.
+Package transport returns the HTTP transports for requests to the object store and to other
+hosts. [New] is for the daemon in package internal/host, [NewDefault] for all else. (Package
+exchange has transports of its own.)
+
+The transports of New detect broken connections within a few seconds by TCP keep-alive: a
+machine that has lost power does not close its connections, and a firewall or NAT device on
+the path may forget a connection.
+
+The connections of all transports are of type [Conn], so that the loss of a connection is not
+taken for the end of a response.
 
 # Usage
 
@@ -46,10 +51,20 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            WithLossDetection(dialer.DialContext),
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
+
+// NewDefault returns a transport with the settings of [http.DefaultTransport] and without a
+// proxy, which keeps up to maxIdlePerHost unused connections to each address.
+func NewDefault(maxIdlePerHost int) *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = WithLossDetection(t.DialContext)
+	t.Proxy = nil
+	t.MaxIdleConnsPerHost = maxIdlePerHost
+	return t
+}
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"trefoilline.example/trefoilline/internal/transport"
 )
 
 // DefaultTimeout is the timeout of the calls of a [Client] that sets none. A watch
@@ -44,17 +46,11 @@
 
 // defaultHTTPClient is the HTTP client of each [Client] that sets none.
 var defaultHTTPClient = &http.Client{
-	Transport: newTransport(),
+	Transport: transport.NewDefault(maxIdleConns),
 }
 
-// newTransport returns a transport that keeps up to eight idle connections to the
-// store and uses no proxy.
-func newTransport() *http.Transport {
-	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.Proxy = nil
-	t.MaxIdleConnsPerHost = 8
-	return t
-}
+// maxIdleConns is the largest number of idle connections that are kept to the store.
+const maxIdleConns = 8
 
 func (c *Client) httpClient() *http.Client {
 	if c.HTTP != nil {
