Take answers with field names that HTTP does not have for broken ones

Callers saw: if the head of a server's answer had a name with a blank (`Bad Name: x`, `Content-Length : 5`), they got 200 and a body, without that line. The same for interim heads and trailers.

Cause: net/http takes blanks in names, also before the colon, and leaves such lines out when it writes a head. Lines that are ignored may have said what the body is. Its parser rejects all other invalid names.

Change: header.CheckNames allows the characters of the protocol. Any other name is an answer that is broken like one whose head is, from backend servers and other hosts (exchange), and from the store, other hosts' calls, health checks and calls of the commands (internal/transport.Checked). net/http stops limiting interim heads together once they are looked at, so headCounter counts their bytes too, 128 KiB in all as before.

Why it works: all heads pass one of the two checks after the parser and before anything is read from them, refusals and statements of servers included; trailers are checked before the end of the body is.

TestResponseWithAnInvalidFieldNameIsNotPassedOn, TestBrokenResponsesNeverLookComplete (five new answers) and TestResponsesWithInvalidNamesAreRejected failed before.

--- a/backend/prober.go
+++ b/backend/prober.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"trefoilline.example/trefoilline/internal/transport"
 )
 
 const (
@@ -26,7 +28,7 @@
 // the pool. Only Pool must be set.
 type Prober struct {
 	Pool *Pool
-	// Client sends the probes; nil means http.DefaultClient.
+	// Client sends the probes; nil means one with the default transport, which rejects responses with invalid field names.
 	Client *http.Client
 	// Clock returns the time; nil means time.Now.
 	Clock func() time.Time
@@ -38,6 +40,11 @@
 	OnProbe func(Probe)
 }
 
+// defaultClient is used where no Client is set.
+var defaultClient = &http.Client{
+	Transport: &transport.Checked{},
+}
+
 // Health is the response of a server's health endpoint.
 type Health struct {
 	// State is "live" or "draining".
@@ -147,7 +154,7 @@
 
 func (p *Prober) client() *http.Client {
 	if p.Client == nil {
-		return http.DefaultClient
+		return defaultClient
 	}
 	return p.Client
 }
--- a/exchange/head_limit_test.go
+++ b/exchange/head_limit_test.go
@@ -36,9 +36,10 @@
 	const ok = "HTTP/1.1 200 OK\r\n"
 	interim := "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("a: 1\r\n", 300) + "\r\n"
 	for name, lines := range map[string]string{
-		"short lines": ok + strings.Repeat("a: 1\r\n", 20_000),
-		"other names": ok + strings.Repeat("b:\n", 1001),
-		"interim":     strings.Repeat(interim, 4) + ok,
+		"short lines":  ok + strings.Repeat("a: 1\r\n", 20_000),
+		"other names":  ok + strings.Repeat("b:\n", 1001),
+		"interim":      strings.Repeat(interim, 4) + ok,
+		"long interim": strings.Repeat("HTTP/1.1 103 Early Hints\r\na: "+strings.Repeat("x", 50<<10)+"\r\n\r\n", 3) + ok,
 	} {
 		outcome := sendHead(t, lines)
 		unknown, isUnknown := outcome.(*exchange.Unknown)
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -33,7 +33,7 @@
 
 // handleResponse returns the outcome of an attempt that got a response.
 func (a *attempt) handleResponse(response *http.Response) Outcome {
-	if err := header.CheckStatus(response.StatusCode); err != nil {
+	if err := checkHead(response); err != nil {
 		_ = response.Body.Close()
 		return a.handleError(err)
 	}
@@ -72,6 +72,14 @@
 	return a.newResponse(response)
 }
 
+// checkHead returns an error if the protocol does not allow the head of the response.
+func checkHead(response *http.Response) error {
+	if err := header.CheckStatus(response.StatusCode); err != nil {
+		return err
+	}
+	return header.CheckNames(response.Header)
+}
+
 // checkRequestID returns an error if the response has the ID of another request. A
 // response without an ID is an error if the backend server is known to echo IDs,
 // if the connection was used before, if the request goes to an entry host, or if all servers are
@@ -183,8 +191,8 @@
 	}
 }
 
-// checkComplete returns an error if the body does not have the declared length or
-// an announced trailer is missing.
+// checkComplete returns an error if the body does not have the declared length, or
+// an announced trailer is missing, or a trailer has an invalid name.
 func (r *Response) checkComplete() error {
 	if r.hasBody() && r.Length >= 0 && r.received != r.Length {
 		return &LengthMismatchError{
@@ -199,7 +207,7 @@
 			}
 		}
 	}
-	return nil
+	return header.CheckNames(r.httpResponse.Trailer)
 }
 
 // hasBody reports whether the body must have the declared length. Responses to
--- a/exchange/response_test.go
+++ b/exchange/response_test.go
@@ -65,6 +65,11 @@
 	"other-request's":  "HTTP/1.1 200 OK\r\nTrefoilline-Request: other\r\nContent-Length: 4\r\n\r\nhalf",
 	"upgrade":          "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\nhalf",
 	"length-not-equal": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nhalf",
+	"blank-in-name":    "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nBad Name: x\r\n\r\nhalf",
+	"blank-at-colon":   "HTTP/1.1 200 OK\r\nContent-Length : 9\r\nContent-Length: 4\r\n\r\nhalf",
+	"interim-name":     "HTTP/1.1 103 Early Hints\r\nBad Name: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf",
+	"continue-name":    "HTTP/1.1 100 Continue\r\nName : x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf",
+	"trailer-name":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\nBad Name: x\r\n\r\n",
 }
 
 // forwardWithExchange returns a handler that forwards requests to the backend
--- a/exchange/send.go
+++ b/exchange/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/netip"
+	"net/textproto"
 	"time"
 
 	"trefoilline.example/trefoilline/header"
@@ -80,6 +81,9 @@
 	a.guard.context = inner
 	trace := &httptrace.ClientTrace{
 		GotConn: a.useConnection,
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+			return header.CheckNames(http.Header(h))
+		},
 	}
 	a.outgoing = a.buildRequest(httptrace.WithClientTrace(inner, trace))
 	return a
--- a/exchange/write_guard.go
+++ b/exchange/write_guard.go
@@ -122,7 +122,7 @@
 	c.guard, c.head = g, headCounter{}
 }
 
-// Read reads from the connection. It returns a [HeadTooLongError] if the head of a response has too many lines.
+// Read reads from the connection. It returns a [HeadTooLongError] if the head of a response is too long.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
--- a/fleet/peer/peer.go
+++ b/fleet/peer/peer.go
@@ -78,11 +78,13 @@
 
 // newHTTPTransport returns a transport that keeps connections open to every
 // host and requests no compression.
-func newHTTPTransport() *http.Transport {
+func newHTTPTransport() *transport.Checked {
 	t := transport.NewDefault(maxIdleConnsPerHost)
 	t.DisableCompression = true
 	t.MaxIdleConns = 0
-	return t
+	return &transport.Checked{
+		Base: t,
+	}
 }
 
 // Run calls the node's Tick at its interval and sends the resulting messages,
--- a/internal/daemon/crash_reports.go
+++ b/internal/daemon/crash_reports.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"trefoilline.example/trefoilline/crashdetect"
+	"trefoilline.example/trefoilline/internal/transport"
 	"trefoilline.example/trefoilline/observe"
 )
 
@@ -27,8 +28,10 @@
 
 // reachabilityClient opens a new connection for each call.
 var reachabilityClient = &http.Client{
-	Transport: &http.Transport{
-		DisableKeepAlives: true,
+	Transport: &transport.Checked{
+		Base: &http.Transport{
+			DisableKeepAlives: true,
+		},
 	},
 	Timeout: reachabilityTimeout,
 }
--- a/internal/fleetauth/secret.go
+++ b/internal/fleetauth/secret.go
@@ -35,11 +35,13 @@
 // requests no compression.
 var sharedTransport = newSharedTransport()
 
-func newSharedTransport() *http.Transport {
+func newSharedTransport() *transport.Checked {
 	t := transport.NewDefault(maxIdleConnsPerHost)
 	t.DisableCompression = true
 	t.MaxIdleConns = 0
-	return t
+	return &transport.Checked{
+		Base: t,
+	}
 }
 
 // Transport adds the fleet secret to each request. The zero value sends an empty secret. All
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -8,7 +8,8 @@
 the path may forget a connection.
 
 The connections of all transports are of type [Conn], so that the loss of a connection is not
-taken for the end of a response.
+taken for the end of a response. [Checked] rejects responses with invalid field names, which
+package net/http does not.
 
 # Usage
 
@@ -40,7 +41,7 @@
 // New returns a transport. The dialTimeout limits the time to open a connection, idleTimeout
 // is how long an unused connection is kept, and maxIdlePerHost is the largest number of
 // unused connections that are kept to each address.
-func New(dialTimeout, idleTimeout time.Duration, maxIdlePerHost int) *http.Transport {
+func New(dialTimeout, idleTimeout time.Duration, maxIdlePerHost int) *Checked {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -50,12 +51,14 @@
 			Count:    keepAliveProbes,
 		},
 	}
-	return &http.Transport{
-		DialContext:            WithLossDetection(dialer.DialContext),
-		DisableCompression:     true,
-		IdleConnTimeout:        idleTimeout,
-		MaxIdleConnsPerHost:    maxIdlePerHost,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+	return &Checked{
+		Base: &http.Transport{
+			DialContext:            WithLossDetection(dialer.DialContext),
+			DisableCompression:     true,
+			IdleConnTimeout:        idleTimeout,
+			MaxIdleConnsPerHost:    maxIdlePerHost,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+		},
 	}
 }
 
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -46,7 +46,9 @@
 
 // defaultHTTPClient is the HTTP client of each [Client] that sets none.
 var defaultHTTPClient = &http.Client{
-	Transport: transport.NewDefault(maxIdleConns),
+	Transport: &transport.Checked{
+		Base: transport.NewDefault(maxIdleConns),
+	},
 }
 
 // maxIdleConns is the largest number of idle connections that are kept to the store.
