Test answers with status 000 to uploads, and by way of another host

Operators of a system of this kind saw callers get status 000 as an answer.

New: a server answers an upload of 16 MB with 000, after the body and before it, directly and by way of another host.

--- a/bufferproxy/status_test.go
+++ b/bufferproxy/status_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -23,3 +25,22 @@
 		require.Zero(t, host.handler.Memory.Usage().Used, status)
 	}
 }
+
+// TestInvalidStatusOfAnUploadIsNotPassedOn has a server answer a long upload with status 000, after the body and before it, on both paths to
+// a server. A caller whose host does not read the rest of its body may find its connection closed.
+func TestInvalidStatusOfAnUploadIsNotPassedOn(t *testing.T) {
+	write := func(c *bufio.ReadWriter, head string) {
+		_, _ = c.WriteString(strings.Replace(head, "200 OK", "000", 1) + "Content-Length: 4\r\n\r\nbody")
+	}
+	readOn := func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) }
+	for path, host := range newUploadHosts(t, rawResponse(t, write, false)) {
+		response, _, err := host.upload()
+		require.NoError(t, err, path)
+		require.Equal(t, http.StatusBadGateway, response.StatusCode, path)
+	}
+	for path, host := range newUploadHosts(t, earlyResponse(write, readOn)) {
+		if response, _, err := host.upload(); err == nil {
+			require.Equal(t, http.StatusBadGateway, response.StatusCode, path)
+		}
+	}
+}
