Test the detection of losses on the connections of a transport

With the detection taken out of transport.NewDefault, no test failed: it was tried on connections of its own. They are those of NewDefault now, and TestReadTellsLossFromEnd fails then. That fleetauth, fleet/peer, the prober and the check of reachability use transport.Checked has no test.

--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -12,13 +12,12 @@
 	"trefoilline.example/trefoilline/internal/transport"
 )
 
-// connect returns the two sides of a connection. The first one detects losses.
+// connect returns the two sides of a connection. The first one is that of a transport.
 func connect(t *testing.T) (net.Conn, *net.TCPConn) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer listener.Close()
-	dial := transport.WithLossDetection((&net.Dialer{}).DialContext)
-	near, err := dial(t.Context(), "tcp", listener.Addr().String())
+	near, err := transport.NewDefault(1).DialContext(t.Context(), "tcp", listener.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = near.Close() })
 	far, err := listener.Accept()
