--- a/bufferproxy/early_reset_test.go
+++ b/bufferproxy/early_reset_test.go
@@ -35,6 +35,9 @@
 	withLongBodies := configuration()
 	withLongBodies.Version++
 	withLongBodies.Limits.MaxBodyBytes = 2 * longBodyBytes
+	for i := range withLongBodies.Routes {
+		withLongBodies.Routes[i].Timeout = time.Minute
+	}
 	hosts := map[string]*testHost{
 		"direct":            direct,
 		"through a further": newCutOffHost(t, other),
